--- /dev/null
+++ b/src/runtime/Placeholder.cpp
@@ -0,0 +1,1 @@
+namespace quetzallead {}
