--- /dev/null
+++ b/include/quetzallead/RetryBudget.h
@@ -0,0 +1,38 @@
+#ifndef QUETZALLEAD_RETRYBUDGET_H
+#define QUETZALLEAD_RETRYBUDGET_H
+
+#include <atomic>
+#include <cstdint>
+
+namespace quetzallead {
+
+/// Bounds the extra load of one service: retries and hedges spend what first
+/// attempts earn. Thread-safe.
+class RetryBudget {
+public:
+  /// \p Share is the extra attempts allowed per first attempt, 0 to 1.
+  explicit RetryBudget(double Share);
+
+  /// A first attempt was sent.
+  void earn();
+  /// Takes what a retry costs; false if the budget is exhausted.
+  bool spendOnRetry();
+  /// Takes what a hedge costs; false if less than the part reserved for
+  /// retries would be left.
+  bool spendOnHedge();
+  /// Gives back what an attempt cost that was not sent after all.
+  void refund();
+  /// Extra attempts that can be paid for now.
+  double available() const;
+
+private:
+  void add(std::int64_t Amount);
+  bool spend(std::int64_t Floor);
+
+  std::int64_t EarnedPerAttempt;
+  std::atomic<std::int64_t> Tokens;
+};
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_RETRYBUDGET_H
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -6,7 +6,7 @@
   libwebsocketpp-dev libmicrohttpd-dev libcurl4-openssl-dev prometheus-cpp-dev
   libboost1.81-dev libboost-program-options1.81-dev libboost-log1.81-dev
   libboost-system1.81-dev libboost-thread1.81-dev libboost-filesystem1.81-dev
-  librapidcheck-dev libabsl-dev nlohmann-json3-dev libxxhash-dev libssl-dev
+  librapidcheck-dev libabsl-dev libpcg-cpp-dev nlohmann-json3-dev libxxhash-dev libssl-dev
   libgtest-dev libgmock-dev libbenchmark-dev
 )
 missing=()
