--- a/src/core/sheet/SheetLimits.h
+++ b/src/core/sheet/SheetLimits.h
@@ -9,7 +9,7 @@
 
 /// Bounds on what a sheet may state.
 struct SheetLimits {
-  static constexpr std::size_t MaxBytes = 900 * 1024;
+  static constexpr std::size_t MaxBytes = std::size_t{900} * 1024;
   static constexpr std::size_t MaxZones = 16;
   static constexpr std::size_t MaxServices = 256;
   static constexpr std::size_t MaxShardsPerService = 1024;
