--- a/src/runtime/TimerService.h
+++ b/src/runtime/TimerService.h
@@ -12,6 +12,9 @@
 class TimerService {
 public:
   /// Ends its subscription when destroyed; the callback does not run after.
+  /// Destruction waits for a callback that is running, unless it happens inside
+  /// that callback; so do not destroy one while holding a lock that its
+  /// callback takes. May outlive the service.
   class Subscription;
   using Callback = std::function<void(TimePoint Now)>;
 
