runtime: keep the event logger out of Boost.Log's lazy singleton

tsan reported 3 races in LoggerTest.ThreadsDoNotMixLines: the global logger storage is built inside the Boost library, which carries no instrumentation. A function-local static is initialised in our own code. Ruled out a suppression file: it would hide our own faults behind the library's frames.

--- a/src/runtime/Logger.cpp
+++ b/src/runtime/Logger.cpp
@@ -8,7 +8,6 @@
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/global_logger_storage.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_feature.hpp>
 #include <boost/log/sources/severity_logger.hpp>
@@ -41,6 +40,13 @@
                       << " " << expr::smessage;
 }
 
+using EventLogger = blog::sources::severity_logger_mt<LogLevel>;
+
+EventLogger &eventLogger() {
+  static EventLogger Logger;
+  return Logger;
+}
+
 bool isBareCharacter(char C) {
   return absl::ascii_isalnum(static_cast<unsigned char>(C)) ||
          absl::string_view("_-.:/+@%,").find(C) != absl::string_view::npos;
@@ -53,9 +59,6 @@
 
 } // namespace
 
-BOOST_LOG_INLINE_GLOBAL_LOGGER_DEFAULT(
-    EventLogger, blog::sources::severity_logger_mt<LogLevel>)
-
 void initLogging(LogLevel Least, const std::string &File,
                  const std::string &Instance) {
   LeastLevel = Least;
@@ -82,7 +85,7 @@
   std::string Line = absl::StrCat("event=", escapeLogValue(Event));
   for (const LogField &Field : Fields)
     absl::StrAppend(&Line, " ", Field.Key, "=", escapeLogValue(Field.Value));
-  BOOST_LOG_SEV(EventLogger::get(), Level) << Line;
+  BOOST_LOG_SEV(eventLogger(), Level) << Line;
 }
 
 std::string escapeLogValue(absl::string_view Value) {
--- a/tests/runtime/LoggerTest.cpp
+++ b/tests/runtime/LoggerTest.cpp
@@ -63,6 +63,7 @@
 
 TEST_F(LoggerTest, ThreadsDoNotMixLines) {
   std::vector<std::thread> Threads;
+  Threads.reserve(4);
   for (int I = 0; I < 4; ++I)
     Threads.emplace_back([I] {
       for (int J = 0; J < 50; ++J)
--- a/tests/runtime/TimerServiceTest.cpp
+++ b/tests/runtime/TimerServiceTest.cpp
@@ -101,6 +101,7 @@
   const auto Timers = TimerService::make();
   const auto Held = std::make_shared<int>(0);
   std::vector<std::shared_ptr<TimerService::Subscription>> Subs;
+  Subs.reserve(2000);
   for (int I = 0; I < 2000; ++I)
     Subs.push_back(
         Timers->at(Timers->now() + absl::Hours(1), [Held](TimePoint) {}));
