--- a/include/quetzallead/ReplicaSet.h
+++ b/include/quetzallead/ReplicaSet.h
@@ -97,6 +97,9 @@
   Permit acquire(const PermitRequest &Request,
                  const std::shared_ptr<PermitListener> &Listener,
                  TimePoint Now);
+  /// Takes a permit at \p Replica if a connection of this instance's share is
+  /// free there, whatever the replica's state; given back by release().
+  bool acquireOn(std::size_t Replica);
   /// Leaves the queue; false if the request is no longer in it.
   bool abandon(std::uint64_t WaitId);
   /// Ends an attempt and returns the queued requests whose turn has come.
--- a/include/quetzallead/SurveyActions.h
+++ b/include/quetzallead/SurveyActions.h
@@ -1,7 +1,9 @@
 #ifndef QUETZALLEAD_SURVEYACTIONS_H
 #define QUETZALLEAD_SURVEYACTIONS_H
 
-#include "quetzallead/ReplicaSet.h"
+#include "quetzallead/AttemptCause.h"
+#include "quetzallead/ReplicaMask.h"
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -31,6 +33,7 @@
   std::size_t Replica = 0;
   /// Version the reply must carry; 0 for the server's newest.
   std::uint64_t Version = 0;
+  AttemptCause Cause = AttemptCause::First;
 };
 
 /// Cancel an attempt in flight; its end is still reported.
--- a/src/core/query/Survey.cpp
+++ b/src/core/query/Survey.cpp
@@ -60,12 +60,14 @@
     Out.Return.push_back(ReturnPermit{Index, Replica});
     return;
   }
-  if (P.Sent > 0)
-    ++ExtraAttempts;
-  else
+  AttemptCause Cause = AttemptCause::First;
+  if (P.Sent == 0) {
     Budget.earn();
-  if (ForHedge)
-    ++Hedges;
+  } else {
+    Cause = ForHedge ? AttemptCause::Hedge : AttemptCause::Retry;
+    ++ExtraAttempts;
+    Hedges += ForHedge ? 1 : 0;
+  }
   auto Id = static_cast<AttemptId>(Attempts.size());
   Attempts.push_back(Attempt{Index, Replica, Target, true});
   P.State = PartState::InFlight;
@@ -77,7 +79,7 @@
     P.HedgeAt = Now + Plan.HedgeDelay;
     wakeBy(P.HedgeAt);
   }
-  Out.Send.push_back(SendAttempt{Id, Index, Replica, Target});
+  Out.Send.push_back(SendAttempt{Id, Index, Replica, Target, Cause});
 }
 
 void Survey::onRefused(std::size_t Index, MissingReason Reason, Duration After,
--- a/src/core/routing/ReplicaSet.cpp
+++ b/src/core/routing/ReplicaSet.cpp
@@ -277,6 +277,15 @@
   return P;
 }
 
+bool ReplicaSet::acquireOn(std::size_t Replica) {
+  absl::MutexLock Lock(&Mutex);
+  Server &S = Servers[Replica];
+  if (S.Belief.Outstanding >= S.ConnectionShare)
+    return false;
+  take(S);
+  return true;
+}
+
 bool ReplicaSet::abandon(std::uint64_t WaitId) {
   absl::MutexLock Lock(&Mutex);
   for (auto &Queue : Queues)
--- a/src/daemon/Placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace quetzallead {}
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -66,7 +66,7 @@
 
 static PolicySettings readPolicy(JsonReader Reader) {
   PolicySettings Policy;
-  Policy.Routing = Reader.choice("routing", RoutingChoiceNames,
+  Policy.Routing = Reader.choice("routing", RoutingPolicyNames,
                                  std::make_optional(Policy.Routing));
   Policy.Hedging = Reader.choice("hedging", HedgingChoiceNames,
                                  std::make_optional(Policy.Hedging));
@@ -158,7 +158,7 @@
   Out["limits"]["max_in_flight"] = S.Limits.MaxInFlight;
   Out["limits"]["max_body_bytes"] = S.Limits.MaxBodyBytes;
   ordered_json &Policy = Out["policy"];
-  Policy["routing"] = std::string(nameOf(RoutingChoiceNames, S.Policy.Routing));
+  Policy["routing"] = std::string(nameOf(RoutingPolicyNames, S.Policy.Routing));
   Policy["hedging"] = std::string(nameOf(HedgingChoiceNames, S.Policy.Hedging));
   Policy["hedge_delay_ms"] = absl::ToDoubleMilliseconds(S.Policy.HedgeDelay);
   Policy["extra_load_share"] = S.Policy.ExtraLoadShare;
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -3,6 +3,7 @@
 
 #include "quetzallead/Error.h"
 #include "quetzallead/NameTable.h"
+#include "quetzallead/RoutingPolicy.h"
 #include "quetzallead/Time.h"
 #include "runtime/Logger.h"
 #include <cstddef>
@@ -11,23 +12,6 @@
 
 namespace quetzallead {
 
-/// How a replica is chosen for a sub-request.
-enum class RoutingChoice {
-  ExpectedCompletion,
-  LeastOutstanding,
-  TwoChoices,
-  RoundRobin,
-  Random,
-};
-
-inline constexpr NamedValue<RoutingChoice> RoutingChoiceNames[] = {
-    {RoutingChoice::ExpectedCompletion, "expected_completion"},
-    {RoutingChoice::LeastOutstanding, "least_outstanding"},
-    {RoutingChoice::TwoChoices, "two_choices"},
-    {RoutingChoice::RoundRobin, "round_robin"},
-    {RoutingChoice::Random, "random"},
-};
-
 /// Where the hedge policy of a request comes from.
 enum class HedgingChoice {
   Sheet, ///< From its service in the sheet.
@@ -68,7 +52,7 @@
 };
 
 struct PolicySettings {
-  RoutingChoice Routing = RoutingChoice::ExpectedCompletion;
+  RoutingPolicy Routing = RoutingPolicy::ExpectedCompletion;
   HedgingChoice Hedging = HedgingChoice::Sheet;
   Duration HedgeDelay = absl::Milliseconds(20);
   /// Attempts beyond the first, as a share of first attempts, 0 to 1.
--- a/tests/daemon/SettingsTest.cpp
+++ b/tests/daemon/SettingsTest.cpp
@@ -22,7 +22,7 @@
   ASSERT_TRUE(std::holds_alternative<Settings>(Outcome));
   const auto &S = std::get<Settings>(Outcome);
   EXPECT_EQ(S.Platform.Timeout, absl::Seconds(2));
-  EXPECT_EQ(S.Policy.Routing, RoutingChoice::ExpectedCompletion);
+  EXPECT_EQ(S.Policy.Routing, RoutingPolicy::ExpectedCompletion);
   EXPECT_TRUE(S.Peers.empty());
 }
 
