--- a/src/daemon/AnswerCodec.cpp
+++ b/src/daemon/AnswerCodec.cpp
@@ -71,10 +71,9 @@
   if (Kind == MergeKind::Count)
     return Response;
   Response.Body.pop_back();
-  Response.Body +=
-      absl::StrCat(",\"rows\":",
-                   A.Rows.dump(-1, ' ', false, json::error_handler_t::replace),
-                   "}");
+  Response.Body += absl::StrCat(
+      ",\"rows\":", A.Rows.dump(-1, ' ', false, json::error_handler_t::replace),
+      "}");
   return Response;
 }
 
--- a/src/daemon/CallerFrontend.cpp
+++ b/src/daemon/CallerFrontend.cpp
@@ -35,8 +35,8 @@
 CallerFrontend::CallerFrontend(const Settings &S, ClusterDirectory &Dir,
                                QueryEnvironment Environment,
                                SessionService &SessionParts,
-                               CommandService &CommandParts, DrainGate &DrainPart,
-                               std::uint64_t Incarnation)
+                               CommandService &CommandParts,
+                               DrainGate &DrainPart, std::uint64_t Incarnation)
     : Options(S), Directory(Dir), Env(Environment), Sessions(SessionParts),
       Commands(CommandParts), Gate(DrainPart), Ids(Incarnation) {}
 
@@ -76,8 +76,8 @@
 void CallerFrontend::route(const ExchangePtr &E) {
   const HttpRequest &Request = E->Request;
   if (Request.Method != "POST")
-    return refuse(E, Problem{ProblemType::NoSuchPath,
-                             "only POST is served here"});
+    return refuse(E,
+                  Problem{ProblemType::NoSuchPath, "only POST is served here"});
   if (!resumeSession(E))
     return;
   if (Request.Path == "/v1/sessions")
@@ -94,13 +94,14 @@
   E->Action = Steps[4];
   E->View = Directory.view();
   if (E->View->Revision == 0)
-    return refuse(E, Problem{ProblemType::NoSheet,
-                             "no sheet is in force here yet", RunState::NotRun,
-                             NoSheetRetryAfter});
+    return refuse(E,
+                  Problem{ProblemType::NoSheet, "no sheet is in force here yet",
+                          RunState::NotRun, NoSheetRetryAfter});
   E->Target = E->View->service(E->Service);
   if (E->Target == nullptr)
-    return refuse(E, Problem{ProblemType::NoSuchService,
-                             absl::StrCat("no service is called ", E->Service)});
+    return refuse(E,
+                  Problem{ProblemType::NoSuchService,
+                          absl::StrCat("no service is called ", E->Service)});
   const ServiceSpec &Spec = E->Target->Spec;
   E->Context.Urgency = parsePriority(Request.Headers.find("Priority"))
                            .value_or(Spec.DefaultPriority);
@@ -119,8 +120,8 @@
   const std::string *Text = E->Request.Headers.find("Quetzallead-Session");
   if (Text == nullptr)
     return true;
-  auto Resumed = capture(
-      [&] { return Sessions.resume(*Text, E->Context.Received); });
+  auto Resumed =
+      capture([&] { return Sessions.resume(*Text, E->Context.Received); });
   if (auto *Fault = std::get_if<Error>(&Resumed)) {
     refuse(E, Problem{ProblemType::BadSession, Fault->text()});
     return false;
@@ -235,9 +236,9 @@
   if (Response.Headers.find("X-Request-Id") == nullptr)
     Response.Headers.add("X-Request-Id", E->Context.RequestId);
   if (E->Session)
-    Response.Headers.add("Quetzallead-Session",
-                         Sessions.renew(*E->Session, E->Service, Version,
-                                        Env.Timers.now()));
+    Response.Headers.add(
+        "Quetzallead-Session",
+        Sessions.renew(*E->Session, E->Service, Version, Env.Timers.now()));
   E->Respond(std::move(Response));
   if (E->Admitted)
     Gate.leave();
--- a/src/daemon/CallerRequest.cpp
+++ b/src/daemon/CallerRequest.cpp
@@ -41,21 +41,20 @@
 }
 
 Result<SurveyRequest> parseSurveyRequest(const std::string &Body) {
-  return parseBody<SurveyRequest>(
-      Body, [](JsonReader &Reader, SurveyRequest &R) {
-        R.Kind = Reader.choice("merge", MergeKindNames,
-                               std::optional<MergeKind>(MergeKind::Rows));
-        R.OrderBy = Reader.text("order_by", 0, MaxNameBytes, std::string());
-        R.Limit =
-            static_cast<std::size_t>(Reader.integer("limit", 0, MaxRows, 0));
-        R.Shards = Reader.texts("shards", MaxNamedShards, MaxNameBytes);
-        R.Query = Reader.any("query");
-        R.Timeout = readTimeout(Reader);
-        if (R.Kind == MergeKind::Lookup)
-          Reader.refuse("merge", "must be rows, ordered or count");
-        if (R.Kind == MergeKind::Ordered && R.OrderBy.empty())
-          Reader.refuse("order_by", "is needed to merge ordered rows");
-      });
+  return parseBody<SurveyRequest>(Body, [](JsonReader &Reader,
+                                           SurveyRequest &R) {
+    R.Kind = Reader.choice("merge", MergeKindNames,
+                           std::optional<MergeKind>(MergeKind::Rows));
+    R.OrderBy = Reader.text("order_by", 0, MaxNameBytes, std::string());
+    R.Limit = static_cast<std::size_t>(Reader.integer("limit", 0, MaxRows, 0));
+    R.Shards = Reader.texts("shards", MaxNamedShards, MaxNameBytes);
+    R.Query = Reader.any("query");
+    R.Timeout = readTimeout(Reader);
+    if (R.Kind == MergeKind::Lookup)
+      Reader.refuse("merge", "must be rows, ordered or count");
+    if (R.Kind == MergeKind::Ordered && R.OrderBy.empty())
+      Reader.refuse("order_by", "is needed to merge ordered rows");
+  });
 }
 
 Result<LookupRequest> parseLookupRequest(const std::string &Body) {
--- a/src/daemon/ClusterDirectory.cpp
+++ b/src/daemon/ClusterDirectory.cpp
@@ -50,8 +50,8 @@
       std::shared_ptr<const ServiceView> Known = Old->service(Spec.Name);
       auto Service = makeService(Spec, Known.get(), Now);
       for (std::size_t Index = 0; Index < Spec.Shards.size(); ++Index) {
-        std::vector<PermitGrant> More = Service->Shards[Index]->update(
-            Spec.Shards[Index], Instances, Now);
+        std::vector<PermitGrant> More =
+            Service->Shards[Index]->update(Spec.Shards[Index], Instances, Now);
         Grants.insert(Grants.end(), More.begin(), More.end());
       }
       Next->Services.emplace(Spec.Name, std::move(Service));
--- a/src/daemon/ClusterDirectory.h
+++ b/src/daemon/ClusterDirectory.h
@@ -34,9 +34,8 @@
   void noteHealthy(const std::string &Server, TimePoint Now);
 
 private:
-  std::shared_ptr<const ServiceView> makeService(const ServiceSpec &Spec,
-                                                 const ServiceView *Old,
-                                                 TimePoint Now)
+  std::shared_ptr<const ServiceView>
+  makeService(const ServiceSpec &Spec, const ServiceView *Old, TimePoint Now)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(WriterMutex);
   template <typename Fn> void forEachSet(Fn Do) const;
 
--- a/src/daemon/CommandService.cpp
+++ b/src/daemon/CommandService.cpp
@@ -213,8 +213,8 @@
     R.Shard = P.Service->Spec.Shards[P.Shard].Name;
     R.Server = Server.Name;
     R.Sent = Now;
-    R.Cause = A->Action.Attempt == 1 ? AttemptCause::First
-                                     : AttemptCause::Retry;
+    R.Cause =
+        A->Action.Attempt == 1 ? AttemptCause::First : AttemptCause::Retry;
     P.Record.Attempts.push_back(std::move(R));
     Call = makeCall(P, *A, Server, Now);
   }
@@ -246,8 +246,8 @@
                    absl::StrCat(absl::ToInt64Milliseconds(Call.Timeout)));
   if (!P.Job.Context.TraceParent.empty())
     Call.Headers.add("traceparent", P.Job.Context.TraceParent);
-  Call.Body = Body.dump(-1, ' ', false,
-                        nlohmann::json::error_handler_t::replace);
+  Call.Body =
+      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return Call;
 }
 
--- a/src/daemon/DaemonMain.cpp
+++ b/src/daemon/DaemonMain.cpp
@@ -59,8 +59,7 @@
 int main(int ArgCount, char **Args) {
   options::options_description Known("Options");
   Known.add_options()("help", "print this help")(
-      "version", "print the version")("settings",
-                                      options::value<std::string>(),
+      "version", "print the version")("settings", options::value<std::string>(),
                                       "settings file, JSON with comments")(
       "check-settings", "check the settings and exit")(
       "print-settings", "print the effective settings and exit");
--- a/src/daemon/DecisionRing.h
+++ b/src/daemon/DecisionRing.h
@@ -17,7 +17,7 @@
 /// Thread-safe.
 class DecisionRing {
 public:
-  explicit DecisionRing(std::size_t Capacity) : Capacity(Capacity) {}
+  explicit DecisionRing(std::size_t Most) : Capacity(Most) {}
 
   void add(DecisionRecord Record);
   std::optional<DecisionRecord> find(const std::string &RequestId) const;
--- a/src/daemon/DrainGate.h
+++ b/src/daemon/DrainGate.h
@@ -12,7 +12,7 @@
 public:
   enum class Entry { Admitted, Draining, Full };
 
-  explicit DrainGate(int Limit) : Limit(Limit) {}
+  explicit DrainGate(int Most) : Limit(Most) {}
 
   /// An admitted request must leave().
   Entry enter() {
--- a/src/daemon/Problem.cpp
+++ b/src/daemon/Problem.cpp
@@ -37,8 +37,8 @@
 void addRetryAfter(HttpResponse &Response, Duration After) {
   if (After <= absl::ZeroDuration())
     return;
-  std::int64_t Millis = absl::ToInt64Milliseconds(absl::Ceil(
-      After, absl::Milliseconds(1)));
+  std::int64_t Millis =
+      absl::ToInt64Milliseconds(absl::Ceil(After, absl::Milliseconds(1)));
   std::int64_t Seconds =
       absl::ToInt64Seconds(absl::Ceil(After, absl::Seconds(1)));
   Response.Headers.add("Retry-After", absl::StrCat(Seconds));
@@ -61,8 +61,8 @@
   Response.Headers.add("Content-Type", "application/problem+json");
   Response.Headers.add("X-Request-Id", RequestId);
   addRetryAfter(Response, P.RetryAfter);
-  Response.Body = Body.dump(-1, ' ', false,
-                            nlohmann::json::error_handler_t::replace);
+  Response.Body =
+      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return Response;
 }
 
--- a/src/daemon/QueryPlanner.cpp
+++ b/src/daemon/QueryPlanner.cpp
@@ -53,8 +53,7 @@
 
 static QueryJob makeJob(const ClusterView &View,
                         std::shared_ptr<const ServiceView> Service,
-                        RequestContext Context,
-                        std::optional<Duration> Timeout,
+                        RequestContext Context, std::optional<Duration> Timeout,
                         const PolicySettings &Policy) {
   QueryJob Job;
   const ServiceSpec &Spec = Service->Spec;
@@ -100,8 +99,7 @@
   P.Type = ProblemType::Overloaded;
   P.Detail = absl::StrCat(Late, " of ", Job.Shards.size(),
                           " shards could not start before the deadline");
-  P.RetryAfter =
-      std::clamp(Longest, LeastRetryAfter, LongestRetryAfter);
+  P.RetryAfter = std::clamp(Longest, LeastRetryAfter, LongestRetryAfter);
   return P;
 }
 
@@ -118,7 +116,8 @@
     Members["limit"] = Job.Plan.Limit;
   if (!Job.Plan.OrderBy.empty())
     Members["order_by"] = Job.Plan.OrderBy;
-  std::string Text = Members.dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string Text =
+      Members.dump(-1, ' ', false, json::error_handler_t::replace);
   // Without the braces, ready for the members of one attempt.
   return Text.substr(1, Text.size() - 2) + ",";
 }
--- a/src/daemon/QuerySession.cpp
+++ b/src/daemon/QuerySession.cpp
@@ -29,9 +29,8 @@
   std::shared_ptr<QuerySession> Session(
       new QuerySession(Env, std::move(Job), std::move(OnDone)));
   TimePoint Now = Env.Timers.now();
-  Session->dispatch(Now, [Now](Survey &S, SurveyActions &Out) {
-    S.start(Now, Out);
-  });
+  Session->dispatch(
+      Now, [Now](Survey &S, SurveyActions &Out) { S.start(Now, Out); });
 }
 
 ReplicaSet &QuerySession::set(std::size_t Part) const {
--- a/src/daemon/QuerySession.h
+++ b/src/daemon/QuerySession.h
@@ -40,8 +40,7 @@
 
   static void start(QueryEnvironment &Env, QueryJob Job, Completion OnDone);
 
-  void onPermit(std::size_t Part, std::size_t Replica,
-                TimePoint Now) override;
+  void onPermit(std::size_t Part, std::size_t Replica, TimePoint Now) override;
 
 private:
   struct LiveAttempt {
@@ -70,11 +69,9 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void send(const SendAttempt &Action, TimePoint Now)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
-  void cancel(const CancelAttempt &Action)
-      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void cancel(const CancelAttempt &Action) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   HttpCall makeCall(const LiveAttempt &A, const BackendServerSpec &Server,
-                    TimePoint Now) const
-      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+                    TimePoint Now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void onExchange(AttemptId Attempt, HttpOutcome Outcome);
   void record(LiveAttempt &A, const DecodedReply &Reply, Duration Elapsed)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
--- a/src/daemon/ServiceView.cpp
+++ b/src/daemon/ServiceView.cpp
@@ -4,9 +4,11 @@
 namespace quetzallead {
 
 std::size_t ServiceView::shardOf(const std::string &Key) const {
-  auto After = std::upper_bound(
-      Spec.Shards.begin(), Spec.Shards.end(), Key,
-      [](const std::string &K, const ShardSpec &Shard) { return K < Shard.From; });
+  auto After =
+      std::upper_bound(Spec.Shards.begin(), Spec.Shards.end(), Key,
+                       [](const std::string &K, const ShardSpec &Shard) {
+                         return K < Shard.From;
+                       });
   return static_cast<std::size_t>(After - Spec.Shards.begin()) - 1;
 }
 
