--- a/src/transport/http/HttpClient.h
+++ b/src/transport/http/HttpClient.h
@@ -19,7 +19,7 @@
   Lost,            ///< Some bytes left and no whole response came: unknown.
   TimedOutNotSent, ///< As NotSent, by the time limit.
   TimedOut,        ///< As Lost, by the time limit.
-  Cancelled,       ///< cancel() was called; as Lost if bytes had left.
+  Cancelled,       ///< cancel() was called; see HttpOutcome::Sent.
   TooLarge,        ///< The response broke the size limit.
 };
 
@@ -58,6 +58,11 @@
   HttpResponse Response;
   /// Time from the start of the exchange to its end.
   Duration Elapsed;
+  /// True if the server may hold the whole request, so that it may have run.
+  /// For a request with a body: a byte of the body was handed to the network.
+  bool Sent = false;
+  /// True if the response lacks the X-Request-Id that RequireEcho asks for.
+  bool EchoMismatch = false;
   /// True if a new connection had to be set up.
   bool NewConnection = false;
   /// The library's words for a failure.
@@ -66,8 +71,8 @@
 
 /// An HTTP/1.1 client on libcurl's multi interface. A fixed number of threads
 /// drives all exchanges; each address belongs to one thread, which keeps its
-/// connections warm. A body is handed to the network at most once: the library
-/// never repeats a request by itself.
+/// connections warm. A request is handed to the network at most once: the
+/// library never repeats it by itself.
 class HttpClient {
 public:
   using CallId = std::uint64_t;
@@ -83,7 +88,9 @@
   static std::unique_ptr<HttpClient> make(Options Opts);
   virtual ~HttpClient() = default;
 
-  /// Starts \p Call. \p Done is always called, also at destruction.
+  /// Starts \p Call. \p Done is always called: with NotSent if the call is
+  /// malformed, with Cancelled at destruction. A call started from a completion
+  /// during destruction is completed before start() returns.
   virtual CallId start(HttpCall Call, Completion Done) = 0;
   /// Ends a call early by closing its connection. Harmless after its end.
   virtual void cancel(CallId Id) = 0;
