--- a/tests/core/SurveyTest.cpp
+++ b/tests/core/SurveyTest.cpp
@@ -28,11 +28,6 @@
   bool Cancelled = false;
 };
 
-class NullListener : public PermitListener {
-public:
-  void onPermit(std::size_t, std::size_t, TimePoint) override {}
-};
-
 /// Drives one survey against replicas in memory; events come in random order.
 class SurveyDriver {
 public:
