--- a/tools/fakes/Catalog.cpp
+++ b/tools/fakes/Catalog.cpp
@@ -34,7 +34,7 @@
     return "";
   const json &Given = Body["Service"];
   const std::string Node = textOf(Body, "Node");
-  const std::string Service = textOf(Given, "Service");
+  std::string Service = textOf(Given, "Service");
   if (Node.empty() || Service.empty())
     return "";
   std::string Address = textOf(Given, "Address");
--- a/tools/fakes/FakeBackend.cpp
+++ b/tools/fakes/FakeBackend.cpp
@@ -6,8 +6,8 @@
 #include "fakes/FakeHttpListener.h"
 #include "fakes/FakeLoop.h"
 #include "fakes/Journal.h"
-#include "fakes/SheetReader.h"
 #include "quetzallead/Sheet.h"
+#include "quetzallead/SheetCodec.h"
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -167,7 +167,7 @@
 
 HttpResponse Backend::takeSheet(const std::string &Text) {
   const auto Outcome = capture([&]() -> Result<bool> {
-    BOOST_LEAF_AUTO(Wanted, readSheet(Text));
+    BOOST_LEAF_AUTO(Wanted, parseSheet(Text));
     BOOST_LEAF_CHECK(take(Wanted));
     return true;
   });
--- a/tools/fakes/FakeBackendMain.cpp
+++ b/tools/fakes/FakeBackendMain.cpp
@@ -2,8 +2,8 @@
 #include "absl/strings/str_split.h"
 #include "fakes/FakeBackend.h"
 #include "fakes/FakeLoop.h"
-#include "fakes/SheetReader.h"
 #include "quetzallead/Sheet.h"
+#include "quetzallead/SheetCodec.h"
 #include <boost/program_options.hpp>
 #include <fstream>
 #include <iostream>
@@ -67,7 +67,7 @@
   std::ifstream File(Line.SheetFile);
   std::ostringstream Text;
   Text << File.rdbuf();
-  BOOST_LEAF_AUTO(Wanted, readSheet(Text.str()));
+  BOOST_LEAF_AUTO(Wanted, parseSheet(Text.str()));
   const std::unique_ptr<FakeLoop> Loop = FakeLoop::make();
   BOOST_LEAF_AUTO(Backend, FakeBackend::make(*Loop, Wanted, Options));
   std::cout << "ready admin=" << Backend->adminAddress() << std::endl;
--- a/tools/fakes/FakeBackendServer.cpp
+++ b/tools/fakes/FakeBackendServer.cpp
@@ -149,7 +149,7 @@
     CloseConnections = Patch["close_connections"] == true;
     Patch.erase("close_connections");
   }
-  const std::string Wrong = mergeFaults(Faults, Patch);
+  std::string Wrong = mergeFaults(Faults, Patch);
   if (!Wrong.empty())
     return Wrong;
   Listener->refuseConnections(Faults.RefuseConnections);
--- a/tools/fakes/FakePlatform.cpp
+++ b/tools/fakes/FakePlatform.cpp
@@ -453,7 +453,7 @@
 } // namespace
 
 Result<std::unique_ptr<FakePlatform>>
-FakePlatform::make(FakeLoop &Loop, FakePlatformOptions Opts) {
+FakePlatform::make(FakeLoop &Loop, const FakePlatformOptions &Opts) {
   auto Made = std::make_unique<Platform>(Loop);
   BOOST_LEAF_CHECK(Made->start(Opts));
   return std::unique_ptr<FakePlatform>(std::move(Made));
--- a/tools/fakes/FakePlatform.h
+++ b/tools/fakes/FakePlatform.h
@@ -21,8 +21,8 @@
 class FakePlatform {
 public:
   /// Starts both listeners. Fails with Unavailable if one cannot be bound.
-  static Result<std::unique_ptr<FakePlatform>> make(FakeLoop &Loop,
-                                                    FakePlatformOptions Opts);
+  static Result<std::unique_ptr<FakePlatform>>
+  make(FakeLoop &Loop, const FakePlatformOptions &Opts);
   virtual ~FakePlatform() = default;
 
   virtual std::string address() const = 0;
