--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -46,7 +46,7 @@
 
 class RunningDaemon : public Daemon {
 public:
-  RunningDaemon(Settings S, Secrets Keys, KeyRing Ring)
+  RunningDaemon(Settings S, const Secrets &Keys, KeyRing Ring)
       : Options(std::move(S)), OperatorToken(Keys.OperatorToken),
         Incarnation(randomIncarnation()), Timers(TimerService::make()),
         Directory(Options), Decisions(DecisionCapacity),
@@ -76,7 +76,7 @@
   Result<void> listen() {
     Result<std::unique_ptr<HttpServer>> CallerSide = HttpServer::make(
         serverOptions(Options.CallerListen),
-        [this](HttpRequest Request, auto Respond) {
+        [this](HttpRequest Request, HttpServer::Responder Respond) {
           Callers.handle(std::move(Request), std::move(Respond));
         });
     if (!CallerSide)
@@ -84,8 +84,9 @@
     CallerServer = std::move(CallerSide.value());
     Result<std::unique_ptr<HttpServer>> AdminSide =
         HttpServer::make(serverOptions(Options.AdminListen),
-                         [this](HttpRequest Request, auto Respond) {
-                           Admin.handle(std::move(Request), std::move(Respond));
+                         [this](const HttpRequest &Request,
+                                const HttpServer::Responder &Respond) {
+                           Admin.handle(Request, Respond);
                          });
     if (!AdminSide)
       return AdminSide.error();
@@ -159,11 +160,11 @@
 
 } // namespace
 
-Result<std::unique_ptr<Daemon>> Daemon::make(Settings S, Secrets Keys) {
+Result<std::unique_ptr<Daemon>> Daemon::make(Settings S, const Secrets &Keys) {
   Result<KeyRing> Ring = makeKeyRing(Keys);
   if (!Ring)
     return Ring.error();
-  auto Running = std::make_unique<RunningDaemon>(std::move(S), std::move(Keys),
+  auto Running = std::make_unique<RunningDaemon>(std::move(S), Keys,
                                                  std::move(Ring.value()));
   Result<void> Listening = Running->listen();
   if (!Listening)
