--- a/tests/core/CommandWorld.cpp
+++ b/tests/core/CommandWorld.cpp
@@ -173,7 +173,7 @@
   Arrival.TicketText = M.Ticket;
   Arrival.Fingerprint =
       fingerprintOf("session", "service", absl::StrCat(M.Command));
-  Arrival.Deadline = Now + absl::Seconds(30);
+  Arrival.Deadline = Now + absl::Seconds(chance(10) ? 0 : 30);
   Arrival.Forwarded = Forwarded;
   P.Arrived[Arrival.Id] = {M.Command, M.Ticket};
   if (Forwarded)
@@ -273,7 +273,9 @@
     Names.push_back(Name);
   }
   Successors[{P.Name, P.Incarnation}] = Names;
-  P.Alive = false;
+  // It may linger and be sent more, until it is killed.
+  P.Draining = false;
+  P.Alive = chance(50);
   const std::string Name = P.Name;
   if (current(Name) == At)
     spawn(Name);
