--- a/include/quetzallead/ReplicaSet.h
+++ b/include/quetzallead/ReplicaSet.h
@@ -114,11 +114,13 @@
   /// (LeavingCause::None). Unknown names are ignored.
   void noteLeaving(const std::string &Server, LeavingCause Cause,
                    TimePoint Now);
-  /// Someone else found \p Server dead: as a failure of our own.
+  /// Someone else found \p Server dead: as a failure of our own, unless it
+  /// answered here lately.
   void noteDead(const std::string &Server, TimePoint Now);
   /// A health probe says that \p Server is up: a server held back because of a
-  /// drain reply may be tried again.
-  void noteHealthy(const std::string &Server, TimePoint Now);
+  /// drain reply or a peer's word may be tried again. True if it is from now
+  /// on; not if the probe came too soon to be believed.
+  bool noteHealthy(const std::string &Server, TimePoint Now);
 
   /// Number of replica indexes in use.
   std::size_t size() const;
--- a/include/quetzallead/ServerBelief.h
+++ b/include/quetzallead/ServerBelief.h
@@ -35,6 +35,8 @@
   LoadReport Reported;
   TimePoint ReportedAt = absl::InfinitePast();
   HeldVersions Held;
+  /// When the last answer came.
+  TimePoint AnsweredAt = absl::InfinitePast();
   /// Failures since the last answer.
   int ConsecutiveFailures = 0;
   /// No attempt before this time, unless no other replica is left.
--- a/src/core/routing/ReplicaSet.cpp
+++ b/src/core/routing/ReplicaSet.cpp
@@ -36,6 +36,8 @@
 static constexpr double WorthWaitingRatio = 3.0;
 /// Urgent requests served in a row before one that waits behind them.
 static constexpr int LongestUrgentStreak = 8;
+/// An answer of a server counts for more than a peer's word this long.
+static constexpr Duration OwnWordLife = absl::Seconds(1);
 /// Shortest time after which a refused caller is told to come back.
 static constexpr Duration LeastRetryAfter = absl::Milliseconds(50);
 
@@ -384,6 +386,7 @@
   switch (Report.Result) {
   case AttemptResult::Answered:
     B.ConsecutiveFailures = 0;
+    B.AnsweredAt = Now;
     B.EjectedUntil = absl::InfinitePast();
     learnLatency(B, Report.Elapsed, Now);
     adaptLimit(B, Report.Elapsed, S.ConnectionShare);
@@ -459,9 +462,11 @@
     return;
   ServerBelief &B = S->Belief;
   if (Cause == LeavingCause::None) {
-    if (B.Leaving == LeavingCause::InstanceList ||
-        B.Leaving == LeavingCause::Peer)
-      B.Leaving = LeavingCause::None;
+    // The sheet's word stands until the sheet changes.
+    if (B.Leaving == LeavingCause::None || B.Leaving == LeavingCause::Sheet)
+      return;
+    B.Leaving = LeavingCause::None;
+    B.RampUntil = Now + RampTime;
     return;
   }
   if (B.Leaving != LeavingCause::None)
@@ -473,21 +478,26 @@
 void ReplicaSet::noteDead(const std::string &Name, TimePoint Now) {
   absl::MutexLock Lock(&Mutex);
   Server *S = find(Name);
-  if (S == nullptr)
+  if (S == nullptr || Now - S->Belief.AnsweredAt < OwnWordLife)
     return;
   ++S->Belief.ConsecutiveFailures;
   eject(S->Belief, Now);
 }
 
-void ReplicaSet::noteHealthy(const std::string &Name, TimePoint Now) {
+bool ReplicaSet::noteHealthy(const std::string &Name, TimePoint Now) {
   absl::MutexLock Lock(&Mutex);
   Server *S = find(Name);
-  if (S == nullptr || S->Belief.Leaving != LeavingCause::DrainReply)
-    return;
-  if (Now - S->Belief.LeavingSince < drainHold(S->LeavingCount - 1))
-    return;
-  S->Belief.Leaving = LeavingCause::None;
-  S->Belief.RampUntil = Now + RampTime;
+  if (S == nullptr)
+    return false;
+  ServerBelief &B = S->Belief;
+  bool MayReturn =
+      B.Leaving == LeavingCause::DrainReply || B.Leaving == LeavingCause::Peer;
+  int Earlier = std::max(0, S->LeavingCount - 1);
+  if (!MayReturn || Now - B.LeavingSince < drainHold(Earlier))
+    return false;
+  B.Leaving = LeavingCause::None;
+  B.RampUntil = Now + RampTime;
+  return true;
 }
 
 std::size_t ReplicaSet::size() const {
--- a/src/daemon/CallerFrontend.cpp
+++ b/src/daemon/CallerFrontend.cpp
@@ -36,9 +36,10 @@
                                QueryEnvironment Environment,
                                SessionService &SessionParts,
                                CommandService &CommandParts,
-                               DrainGate &DrainPart, std::uint64_t Incarnation)
-    : Options(S), Directory(Dir), Env(Environment), Sessions(SessionParts),
-      Commands(CommandParts), Gate(DrainPart), Ids(Incarnation) {}
+                               DrainGate &DrainPart, std::uint64_t RandomId)
+    : Options(S), Directory(Dir), Env(std::move(Environment)),
+      Sessions(SessionParts), Commands(CommandParts), Gate(DrainPart),
+      Ids(RandomId) {}
 
 static Problem badRequest(const Error &E) {
   return Problem{ProblemType::BadRequest, E.text()};
--- a/src/daemon/CallerFrontend.h
+++ b/src/daemon/CallerFrontend.h
@@ -29,7 +29,7 @@
   CallerFrontend(const Settings &S, ClusterDirectory &Directory,
                  QueryEnvironment Env, SessionService &Sessions,
                  CommandService &Commands, DrainGate &Gate,
-                 std::uint64_t Incarnation);
+                 std::uint64_t RandomId);
 
   void handle(HttpRequest Request, HttpServer::Responder Respond);
 
--- a/src/daemon/ClusterDirectory.cpp
+++ b/src/daemon/ClusterDirectory.cpp
@@ -95,8 +95,12 @@
   forEachSet([&](ReplicaSet &Set) { Set.noteDead(Server, Now); });
 }
 
-void ClusterDirectory::noteHealthy(const std::string &Server, TimePoint Now) {
-  forEachSet([&](ReplicaSet &Set) { Set.noteHealthy(Server, Now); });
+bool ClusterDirectory::noteHealthy(const std::string &Server, TimePoint Now) {
+  bool Returned = false;
+  forEachSet([&](ReplicaSet &Set) {
+    Returned = Set.noteHealthy(Server, Now) || Returned;
+  });
+  return Returned;
 }
 
 } // namespace quetzallead
--- a/src/daemon/ClusterDirectory.h
+++ b/src/daemon/ClusterDirectory.h
@@ -31,7 +31,8 @@
   void noteLeaving(const std::string &Server, LeavingCause Cause,
                    TimePoint Now);
   void noteDead(const std::string &Server, TimePoint Now);
-  void noteHealthy(const std::string &Server, TimePoint Now);
+  /// True if the server is used again from now on.
+  bool noteHealthy(const std::string &Server, TimePoint Now);
 
 private:
   std::shared_ptr<const ServiceView>
--- a/src/daemon/CommandService.cpp
+++ b/src/daemon/CommandService.cpp
@@ -6,6 +6,7 @@
 #include "daemon/CommandResponse.h"
 #include "daemon/CommandWire.h"
 #include "daemon/DecisionRing.h"
+#include "daemon/ServerEvents.h"
 #include "transport/http/HttpClient.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -47,7 +48,8 @@
                                std::shared_ptr<const KeyRing> Keys,
                                CommandLedger::StandingOf Standing,
                                Forwarder ForwardTo)
-    : Directory(Dir), Env(Environment), Forward(std::move(ForwardTo)),
+    : Directory(Dir), Env(std::move(Environment)),
+      Forward(std::move(ForwardTo)),
       Ledger(std::move(Instance), Incarnation, std::move(Keys),
              std::move(Standing)) {
   Ticker = Env.Timers.every(TickPeriod, [this](TimePoint Now) {
@@ -271,6 +273,7 @@
   Report.Elapsed = Outcome.Elapsed;
   Report.Load = Reply.Load;
   std::vector<PermitGrant> Grants = A->Set->release(A->Replica, Report, Now);
+  reportServerEvent(Env, *A->Set, A->Replica, Reply.Result);
   for (const PermitGrant &Grant : Grants)
     Grant.deliver(Now);
   std::string Body;
--- a/src/daemon/QueryEnvironment.h
+++ b/src/daemon/QueryEnvironment.h
@@ -1,11 +1,14 @@
 #ifndef QUETZALLEAD_DAEMON_QUERYENVIRONMENT_H
 #define QUETZALLEAD_DAEMON_QUERYENVIRONMENT_H
 
+#include "quetzallead/AttemptResult.h"
+#include <functional>
+#include <string>
+
 namespace quetzallead {
 
 class DecisionRing;
 class HttpClient;
-class RequestMetrics;
 class TimerService;
 
 /// The parts of the daemon that running requests use; all outlive them.
@@ -13,6 +16,8 @@
   HttpClient &Client;
   TimerService &Timers;
   DecisionRing &Decisions;
+  /// Told of each attempt that says something of its backend server as a whole.
+  std::function<void(const std::string &Server, AttemptResult)> OnServerEvent;
 };
 
 } // namespace quetzallead
--- a/src/daemon/QuerySession.cpp
+++ b/src/daemon/QuerySession.cpp
@@ -1,6 +1,7 @@
 #include "daemon/QuerySession.h"
 #include "absl/strings/str_cat.h"
 #include "daemon/DecisionRing.h"
+#include "daemon/ServerEvents.h"
 #include <algorithm>
 #include <deque>
 
@@ -238,6 +239,7 @@
     Job.Service->Stats->Latencies.record(Outcome.Elapsed, Now);
   }
   std::vector<PermitGrant> Grants = set(Part).release(Replica, Report, Now);
+  reportServerEvent(Env, set(Part), Replica, Reply.Result);
   dispatch(Now, [&](Survey &S, SurveyActions &Out) {
     Mutex.AssertHeld();
     --LiveCount;
--- a/src/daemon/RequestIds.cpp
+++ b/src/daemon/RequestIds.cpp
@@ -3,8 +3,8 @@
 
 namespace quetzallead {
 
-RequestIds::RequestIds(std::uint64_t Incarnation)
-    : Prefix(absl::StrCat(absl::Hex(Incarnation, absl::kZeroPad16), "-")) {}
+RequestIds::RequestIds(std::uint64_t RandomId)
+    : Prefix(absl::StrCat(absl::Hex(RandomId, absl::kZeroPad16), "-")) {}
 
 std::string RequestIds::next() {
   std::uint64_t Number = Counter.fetch_add(1, std::memory_order_relaxed);
--- a/src/daemon/RequestIds.h
+++ b/src/daemon/RequestIds.h
@@ -11,8 +11,8 @@
 /// Thread-safe.
 class RequestIds {
 public:
-  /// \p Incarnation is random per start of the process.
-  explicit RequestIds(std::uint64_t Incarnation);
+  /// \p RandomId is drawn anew at every start of the process.
+  explicit RequestIds(std::uint64_t RandomId);
 
   std::string next();
 
--- /dev/null
+++ b/src/daemon/ServerEvents.h
@@ -0,0 +1,19 @@
+#ifndef QUETZALLEAD_DAEMON_SERVEREVENTS_H
+#define QUETZALLEAD_DAEMON_SERVEREVENTS_H
+
+#include "quetzallead/AttemptResult.h"
+#include <cstddef>
+
+namespace quetzallead {
+
+class ReplicaSet;
+struct QueryEnvironment;
+
+/// Passes on the result of an attempt if other instances should hear of it:
+/// the backend server is draining or cannot be reached.
+void reportServerEvent(const QueryEnvironment &Env, const ReplicaSet &Set,
+                       std::size_t Replica, AttemptResult Result);
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_DAEMON_SERVEREVENTS_H
