--- a/tools/bench/goals.py
+++ b/tools/bench/goals.py
@@ -97,6 +97,8 @@
 def promises(table):
     """What must hold in every run, the baselines included."""
     runs = [r for key, group in table.items() if key[1] != "direct" for r in group]
+    if not runs:
+        return
     faulty = sum(r["windows"]["reported"]["all"]["faulty"] for r in runs)
     repeated = sum(r.get("repeated_commands", 0) for r in runs)
     ended = sum(r["daemons"] - r["daemons_running"] for r in runs)
