--- a/tools/bench/goals.py
+++ b/tools/bench/goals.py
@@ -102,6 +102,8 @@
     faulty = sum(r["windows"]["reported"]["all"]["faulty"] for r in runs)
     repeated = sum(r.get("repeated_commands", 0) for r in runs)
     ended = sum(r["daemons"] - r["daemons_running"] for r in runs)
+    unspread = sum(r["sheet_not_spread"] for r in runs)
+    yield "instances that the sheet did not reach in 8 s", unspread, 0, True
     yield "answers that break a promise", faulty, 0, True
     yield "commands executed twice", repeated, 0, True
     yield "daemons that ended by themselves", ended, 0, True
--- a/tools/bench/run.py
+++ b/tools/bench/run.py
@@ -114,6 +114,7 @@
         "windows": figures.windows(records, times),
         "daemons_running": sum(d.running() for d in fleet.daemons),
         "daemons": len(fleet.daemons),
+        "sheet_not_spread": fleet.sheet_not_spread,
         "platform_calls": fleet.platform_calls(),
         "connections_refused": sum(
             c["refused"] for c in fleet.connection_peaks().values()),
