--- a/src/daemon/CommandService.cpp
+++ b/src/daemon/CommandService.cpp
@@ -61,7 +61,7 @@
   return Ledger.issueTicket(Now);
 }
 
-void CommandService::run(CommandJob Job, Completion OnDone) {
+void CommandService::run(CommandJob Job, const Completion &OnDone) {
   std::shared_ptr<const ServiceView> Service =
       Directory.view()->service(Job.Service);
   Duration Limit = absl::ZeroDuration();
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -13,7 +13,7 @@
 class Daemon {
 public:
   /// Starts listening. Fails with Unavailable if an address cannot be bound.
-  static Result<std::unique_ptr<Daemon>> make(Settings S, Secrets Keys);
+  static Result<std::unique_ptr<Daemon>> make(Settings S, const Secrets &Keys);
   virtual ~Daemon() = default;
 
   /// Stops as planned: leaves the instance list, refuses new requests unrun,
--- a/src/daemon/SheetService.cpp
+++ b/src/daemon/SheetService.cpp
@@ -11,7 +11,7 @@
     : Directory(Dir), Timers(TimerPart) {}
 
 void SheetService::submit(const std::string &Body,
-                          HttpServer::Responder Respond) {
+                          const HttpServer::Responder &Respond) {
   auto Request = nlohmann::json::parse(Body, nullptr, false);
   if (!Request.is_object() || !Request.contains("sheet"))
     return Respond(
--- a/src/daemon/SheetService.h
+++ b/src/daemon/SheetService.h
@@ -14,7 +14,7 @@
 public:
   SheetService(ClusterDirectory &Directory, TimerService &Timers);
 
-  void submit(const std::string &Body, HttpServer::Responder Respond);
+  void submit(const std::string &Body, const HttpServer::Responder &Respond);
   HttpResponse current() const;
   HttpResponse status() const;
   HttpResponse audit() const;
