--- a/include/quetzallead/Survey.h
+++ b/include/quetzallead/Survey.h
@@ -58,7 +58,8 @@
     Asking,   ///< A permit is asked for or waited for, none in flight.
     InFlight, ///< At least one attempt is in flight.
     Covered,  ///< A reply at the target version is there.
-    Blocked,  ///< No replica holds the target version yet.
+    Blocked,  ///< Waits to be asked again: no replica holds the target version
+              ///< yet, all refused, or the retry cannot be paid for yet.
     Failed,   ///< Given up.
   };
   struct Part {
@@ -97,7 +98,10 @@
   const SubReply *replyAt(const Part &P, std::uint64_t Version) const;
   bool usable(const PartPlan &P, const SubReply &Reply) const;
   void cancelLive(std::size_t Index, SurveyActions &Out);
-  void hedge(std::size_t Index, SurveyActions &Out);
+  void hedge(std::size_t Index, TimePoint Now, SurveyActions &Out);
+  void backOff(std::size_t Index, TimePoint Now);
+  void resume(std::size_t Index, TimePoint Now, SurveyActions &Out);
+  bool anyLeft(std::size_t Index) const;
   void checkEnd(TimePoint Now, SurveyActions &Out);
   void finish(SurveyActions &Out);
   void wakeBy(TimePoint When);
--- a/src/core/query/Survey.cpp
+++ b/src/core/query/Survey.cpp
@@ -13,6 +13,11 @@
 /// reach the target version; doubled each round.
 static constexpr Duration FirstBlockedRetry = absl::Milliseconds(10);
 static constexpr int LongestBlockedDoubling = 4;
+/// Parts are hedged once no more than one in so many is still open.
+static constexpr std::size_t StragglerFraction = 3;
+/// Pause before a part whose replicas all refused it, or whose retry cannot be
+/// paid for yet, is tried again; doubled each round.
+static constexpr Duration FirstBackoff = absl::Milliseconds(15);
 /// Weight of a replica that lags behind a version and may reach it in time.
 static constexpr double LaggingWeight = 0.5;
 /// Weight, over all parts together, of how many replicas hold a version: among
@@ -235,21 +240,58 @@
   P.LastReason = Reason;
   if (P.Live > 0 || P.WaitPending || P.State == PartState::Covered)
     return;
-  bool Left = false;
-  for (std::size_t R = 0; R < Plan.Parts[Index].Held.size(); ++R)
-    Left = Left || (P.Tried & replicaBit(R)) == 0;
+  bool Left = anyLeft(Index);
   if (!Left && Reason == MissingReason::OtherVersion) {
     block(Index, Now, Out);
     return;
   }
-  bool Allowed = Left && P.Sent < MaxAttemptsPerPart;
-  if (!Allowed || (Charged && !Budget.spendOnRetry())) {
+  bool MayRetry =
+      P.Sent < MaxAttemptsPerPart && (Left || Reason == MissingReason::Shed);
+  if (!MayRetry) {
     giveUp(Index, Reason, Now, Out);
     return;
   }
+  if (!Left || (Charged && !Budget.spendOnRetry(Now))) {
+    backOff(Index, Now);
+    return;
+  }
+  ask(Index, /*MayWait=*/true, Out);
+}
+
+void Survey::backOff(std::size_t Index, TimePoint Now) {
+  Part &P = Parts[Index];
+  int Doublings = std::min(P.BlockedRounds, LongestBlockedDoubling);
+  ++P.BlockedRounds;
+  P.State = PartState::Blocked;
+  P.RetryAt = Now + FirstBackoff * static_cast<double>(1 << Doublings);
+  wakeBy(P.RetryAt);
+}
+
+void Survey::resume(std::size_t Index, TimePoint Now, SurveyActions &Out) {
+  Part &P = Parts[Index];
+  PartPlan &PP = Plan.Parts[Index];
+  P.RetryAt = absl::InfiniteFuture();
+  if (P.LastReason != MissingReason::OtherVersion &&
+      !Budget.spendOnRetry(Now)) {
+    backOff(Index, Now);
+    return;
+  }
+  if (!anyLeft(Index))
+    P.Tried = PP.Unusable;
+  // What lagged may have moved on.
+  for (HeldVersions &Held : PP.Held)
+    if (Held.mayReach(Target))
+      Held = HeldVersions{};
   ask(Index, /*MayWait=*/true, Out);
 }
 
+bool Survey::anyLeft(std::size_t Index) const {
+  for (std::size_t R = 0; R < Plan.Parts[Index].Held.size(); ++R)
+    if ((Parts[Index].Tried & replicaBit(R)) == 0)
+      return true;
+  return false;
+}
+
 void Survey::block(std::size_t Index, TimePoint Now, SurveyActions &Out) {
   Part &P = Parts[Index];
   bool Reachable = false;
@@ -377,13 +419,20 @@
   }
 }
 
-void Survey::hedge(std::size_t Index, SurveyActions &Out) {
+void Survey::hedge(std::size_t Index, TimePoint Now, SurveyActions &Out) {
   Part &P = Parts[Index];
   P.HedgeAt = absl::InfiniteFuture();
   bool Useful = P.State == PartState::InFlight && P.Live == 1 && !P.WaitPending;
   if (!Useful || P.Hedged || P.Sent >= MaxAttemptsPerPart)
     return;
-  if (!Budget.spendOnHedge())
+  // Where most parts are slow the service is, and more load would not help.
+  std::size_t Open = Parts.size() - CoveredCount - FailedCount;
+  if (Open > std::max<std::size_t>(1, Parts.size() / StragglerFraction)) {
+    P.HedgeAt = Now + Plan.HedgeDelay / 2;
+    wakeBy(P.HedgeAt);
+    return;
+  }
+  if (!Budget.spendOnHedge(Now))
     return;
   P.Hedged = true;
   P.HedgePending = true;
@@ -396,16 +445,9 @@
   for (std::size_t Index = 0; Index < Parts.size() && !Done; ++Index) {
     Part &P = Parts[Index];
     if (P.HedgeAt <= Now)
-      hedge(Index, Out);
-    if (P.RetryAt <= Now && P.State == PartState::Blocked) {
-      P.RetryAt = absl::InfiniteFuture();
-      P.Tried = Plan.Parts[Index].Unusable;
-      // What lagged may have moved on.
-      for (HeldVersions &Held : Plan.Parts[Index].Held)
-        if (Held.mayReach(Target))
-          Held = HeldVersions{};
-      ask(Index, /*MayWait=*/true, Out);
-    }
+      hedge(Index, Now, Out);
+    if (P.RetryAt <= Now && P.State == PartState::Blocked)
+      resume(Index, Now, Out);
   }
   checkEnd(Now, Out);
   rearm(Now);
--- a/src/core/routing/RetryBudget.cpp
+++ b/src/core/routing/RetryBudget.cpp
@@ -7,6 +7,10 @@
 static constexpr std::int64_t TokensPerAttempt = 1000;
 /// Most extra attempts that can be saved up.
 static constexpr std::int64_t TokenLimit = 40 * TokensPerAttempt;
+/// Extra attempts per second that come with time.
+static constexpr std::int64_t AttemptsPerSecond = 10;
+static constexpr std::int64_t NanosPerToken =
+    1'000'000'000 / (AttemptsPerSecond * TokensPerAttempt);
 /// Attempts kept back from hedges for retries.
 static constexpr std::int64_t RetryReserve = 10 * TokensPerAttempt;
 
@@ -28,6 +32,17 @@
   }
 }
 
+void RetryBudget::refill(TimePoint Now) {
+  std::int64_t NowNanos = absl::ToUnixNanos(Now);
+  std::int64_t Since = RefilledNanos.load(std::memory_order_relaxed);
+  std::int64_t Earned = Since == 0 ? 0 : (NowNanos - Since) / NanosPerToken;
+  if (Since != 0 && Earned <= 0)
+    return;
+  if (RefilledNanos.compare_exchange_strong(Since, NowNanos,
+                                            std::memory_order_relaxed))
+    add(std::min(Earned, TokenLimit));
+}
+
 bool RetryBudget::spend(std::int64_t Floor) {
   std::int64_t Now = Tokens.load(std::memory_order_relaxed);
   while (Now - TokensPerAttempt >= Floor)
@@ -37,9 +52,15 @@
   return false;
 }
 
-bool RetryBudget::spendOnRetry() { return spend(0); }
+bool RetryBudget::spendOnRetry(TimePoint Now) {
+  refill(Now);
+  return spend(0);
+}
 
-bool RetryBudget::spendOnHedge() { return spend(RetryReserve); }
+bool RetryBudget::spendOnHedge(TimePoint Now) {
+  refill(Now);
+  return spend(RetryReserve);
+}
 
 double RetryBudget::available() const {
   return static_cast<double>(Tokens.load(std::memory_order_relaxed)) /
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -13,6 +13,7 @@
 #include "daemon/SessionService.h"
 #include "daemon/Settings.h"
 #include "daemon/SheetService.h"
+#include "daemon/TraceFile.h"
 #include "runtime/Logger.h"
 #include "runtime/TimerService.h"
 #include "runtime/Version.h"
@@ -68,7 +69,9 @@
       : Options(std::move(S)), OperatorToken(Keys.OperatorToken),
         PeerKeys(Keys.PeerKeys), Timers(TimerService::make()),
         Incarnation(startIncarnation(Timers->now())), Directory(Options),
-        Decisions(DecisionCapacity), Gate(Options.Limits.MaxInFlight),
+        Decisions(DecisionCapacity),
+        Traces(Options.Trace.File, Options.Trace.Every),
+        Gate(Options.Limits.MaxInFlight),
         Sessions(std::make_shared<KeyRing>(std::move(Ring)), randomBits()),
         Client(HttpClient::make(clientOptions(Options))),
         Platform(*Client, platformOptions(Options)),
@@ -286,7 +289,7 @@
 
   QueryEnvironment environment() {
     return QueryEnvironment{
-        *Client, *Timers, Decisions,
+        *Client, *Timers, Decisions, Traces,
         [this](const std::string &Server, AttemptResult Result) {
           onServerEvent(Server, Result);
         }};
@@ -322,6 +325,7 @@
   const std::uint64_t Incarnation;
   ClusterDirectory Directory;
   DecisionRing Decisions;
+  TraceFile Traces;
   DrainGate Gate;
   SessionService Sessions;
   std::unique_ptr<HttpClient> Client;
--- a/src/daemon/QueryEnvironment.h
+++ b/src/daemon/QueryEnvironment.h
@@ -10,12 +10,14 @@
 class DecisionRing;
 class HttpClient;
 class TimerService;
+class TraceFile;
 
 /// The parts of the daemon that running requests use; all outlive them.
 struct QueryEnvironment {
   HttpClient &Client;
   TimerService &Timers;
   DecisionRing &Decisions;
+  TraceFile &Traces;
   /// Told of each attempt that says something of its backend server as a whole.
   std::function<void(const std::string &Server, AttemptResult)> OnServerEvent;
 };
--- a/src/daemon/QuerySession.cpp
+++ b/src/daemon/QuerySession.cpp
@@ -2,6 +2,7 @@
 #include "absl/strings/str_cat.h"
 #include "daemon/DecisionRing.h"
 #include "daemon/ServerEvents.h"
+#include "daemon/TraceFile.h"
 #include <algorithm>
 #include <deque>
 
@@ -30,8 +31,11 @@
   std::shared_ptr<QuerySession> Session(
       new QuerySession(Env, std::move(Job), std::move(OnDone)));
   TimePoint Now = Env.Timers.now();
-  Session->dispatch(
-      Now, [Now](Survey &S, SurveyActions &Out) { S.start(Now, Out); });
+  Session->dispatch(Now, [Now, &Session](Survey &S, SurveyActions &Out) {
+    Session->Mutex.AssertHeld();
+    Session->beginTrace();
+    S.start(Now, Out);
+  });
 }
 
 ReplicaSet &QuerySession::set(std::size_t Part) const {
@@ -41,6 +45,12 @@
 void QuerySession::onPermit(std::size_t Part, std::size_t Replica,
                             TimePoint Now) {
   dispatch(Now, [=](Survey &S, SurveyActions &Out) {
+    Mutex.AssertHeld();
+    TraceEvent Traced;
+    Traced.Kind = TraceEventKind::Permit;
+    Traced.Part = Part;
+    Traced.Replica = Replica;
+    trace(std::move(Traced), Now);
     S.onPermit(Part, Replica, Now, Out);
   });
 }
@@ -62,6 +72,7 @@
       Outcome.RetryAfter = Query.retryAfter();
       Outcome.ExtraAttempts = Query.extraAttempts();
       Outcome.Hedges = Query.hedges();
+      endTrace(Outcome, Now);
       Record.Elapsed = Now - Record.Started;
       Record.Run = Outcome.Result.Run;
       Record.Wanted = Outcome.Result.Wanted;
@@ -115,14 +126,23 @@
   Request.MayWait = Ask.MayWait;
   Request.Part = Ask.Part;
   Permit P = set(Ask.Part).acquire(Request, shared_from_this(), Now);
+  TraceEvent Traced;
+  Traced.Part = Ask.Part;
+  Traced.Replica = P.Replica;
+  Traced.Reason = P.Reason;
+  Traced.RetryAfter = P.RetryAfter;
   switch (P.Outcome) {
   case PermitOutcome::Granted:
+    Traced.Kind = TraceEventKind::Permit;
+    trace(std::move(Traced), Now);
     Query.onPermit(Ask.Part, P.Replica, Now, Next);
     return;
   case PermitOutcome::Queued:
     Waits[Ask.Part] = P.WaitId;
     return;
   case PermitOutcome::Refused:
+    Traced.Kind = TraceEventKind::Refused;
+    trace(std::move(Traced), Now);
     Query.onRefused(Ask.Part, P.Reason, P.RetryAfter, Now, Next);
     return;
   }
@@ -244,7 +264,16 @@
     Mutex.AssertHeld();
     --LiveCount;
     record(Attempts[Attempt], Reply, Outcome.Elapsed);
-    if (Reply.Result == AttemptResult::Answered)
+    TraceEvent Traced;
+    Traced.Attempt = Attempt;
+    Traced.Result = Reply.Result;
+    Traced.Held = Reply.Held;
+    bool IsAnswer = Reply.Result == AttemptResult::Answered;
+    Traced.Kind = IsAnswer ? TraceEventKind::Reply : TraceEventKind::Failure;
+    if (Trace != nullptr && IsAnswer)
+      Traced.Reply = Reply.Reply;
+    trace(std::move(Traced), Now);
+    if (IsAnswer)
       S.onReply(Attempt, std::move(Reply.Reply), Now, Out);
     else
       S.onFailure(Attempt, Reply.Result, Reply.Held, Now, Out);
@@ -274,12 +303,44 @@
   std::shared_ptr<TimerService::Subscription> Old = std::move(Timer);
   auto Self = shared_from_this();
   Timer = Env.Timers.at(Next, [Self](TimePoint Now) {
-    Self->dispatch(
-        Now, [Now](Survey &S, SurveyActions &Out) { S.onTimer(Now, Out); });
+    Self->dispatch(Now, [Self, Now](Survey &S, SurveyActions &Out) {
+      Self->Mutex.AssertHeld();
+      Self->trace(TraceEvent(), Now);
+      S.onTimer(Now, Out);
+    });
   });
   return Old;
 }
 
+void QuerySession::beginTrace() {
+  if (!Env.Traces.takesNext())
+    return;
+  Trace = std::make_unique<SurveyTrace>();
+  Trace->Title = Job.Context.RequestId;
+  Trace->Plan = Job.Plan;
+  // Times of a trace count from the receipt of the request.
+  Duration Shift = Job.Context.Received - absl::UnixEpoch();
+  Trace->Plan.Deadline -= Shift;
+  Trace->Plan.CoverageDeadline -= Shift;
+  Trace->Budget = Job.Service->Stats->Budget.available();
+}
+
+void QuerySession::trace(TraceEvent Traced, TimePoint Now) {
+  if (Trace == nullptr)
+    return;
+  Traced.At = Now - Job.Context.Received;
+  Trace->Events.push_back(std::move(Traced));
+}
+
+void QuerySession::endTrace(const QueryOutcome &Outcome, TimePoint Now) {
+  if (Trace == nullptr)
+    return;
+  Trace->Outcome = outcomeOf(Outcome.Result, Now - Job.Context.Received,
+                             static_cast<int>(Attempts.size()), Outcome.Hedges);
+  Env.Traces.write(formatTrace(*Trace));
+  Trace.reset();
+}
+
 void QuerySession::closeRecord() {
   if (Record.RequestId.empty())
     return;
--- a/src/daemon/QuerySession.h
+++ b/src/daemon/QuerySession.h
@@ -10,6 +10,7 @@
 #include "daemon/RequestContext.h"
 #include "daemon/ServiceView.h"
 #include "quetzallead/Survey.h"
+#include "quetzallead/SurveyTrace.h"
 #include "runtime/TimerService.h"
 #include "transport/http/HttpClient.h"
 #include <functional>
@@ -79,6 +80,12 @@
   std::shared_ptr<TimerService::Subscription> rearm()
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void closeRecord() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void beginTrace() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  /// Appends \p Traced, at \p Now, to the trace if there is one.
+  void trace(TraceEvent Traced, TimePoint Now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void endTrace(const QueryOutcome &Outcome, TimePoint Now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   ReplicaSet &set(std::size_t Part) const;
 
   QueryEnvironment &Env;
@@ -94,6 +101,8 @@
   Completion OnDone ABSL_GUARDED_BY(Mutex);
   bool Answered ABSL_GUARDED_BY(Mutex) = false;
   DecisionRecord Record ABSL_GUARDED_BY(Mutex);
+  /// Null if this survey is not recorded.
+  std::unique_ptr<SurveyTrace> Trace ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace quetzallead
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -22,6 +22,7 @@
 static constexpr Duration MaxPlatformTimeout = absl::Minutes(1);
 static constexpr Duration MaxHedgeDelay = absl::Minutes(1);
 static constexpr Duration MaxGrace = absl::Hours(1);
+static constexpr std::int64_t MaxTracePeriod = 1'000'000'000;
 
 static PlatformSettings readPlatform(JsonReader Reader) {
   PlatformSettings Platform;
@@ -86,6 +87,15 @@
   return Drain;
 }
 
+static TraceSettings readTrace(JsonReader Reader) {
+  TraceSettings Trace;
+  Trace.File = Reader.text("file", 0, MaxPathBytes, Trace.File);
+  Trace.Every = static_cast<std::uint64_t>(Reader.integer(
+      "every", 1, MaxTracePeriod, static_cast<std::int64_t>(Trace.Every)));
+  Reader.finish();
+  return Trace;
+}
+
 static std::vector<std::string> readPeers(JsonReader &Reader) {
   std::vector<std::string> Peers =
       Reader.texts("peers", MaxPeers, MaxAddressBytes);
@@ -112,6 +122,7 @@
   S.Limits = readLimits(Reader.optionalObject("limits"));
   S.Policy = readPolicy(Reader.optionalObject("policy"));
   S.Drain = readDrain(Reader.optionalObject("drain"));
+  S.Trace = readTrace(Reader.optionalObject("trace"));
   Reader.finish();
   return S;
 }
@@ -163,6 +174,8 @@
   Policy["hedge_delay_ms"] = absl::ToDoubleMilliseconds(S.Policy.HedgeDelay);
   Policy["extra_load_share"] = S.Policy.ExtraLoadShare;
   Out["drain"]["grace_ms"] = absl::ToDoubleMilliseconds(S.Drain.Grace);
+  Out["trace"]["file"] = S.Trace.File;
+  Out["trace"]["every"] = S.Trace.Every;
   constexpr int Indent = 2;
   return Out.dump(Indent) + "\n";
 }
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -7,6 +7,7 @@
 #include "quetzallead/Time.h"
 #include "runtime/Logger.h"
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,13 @@
   Duration Grace = absl::Seconds(30);
 };
 
+struct TraceSettings {
+  /// Where surveys are recorded for replay; nowhere if empty.
+  std::string File;
+  /// Every so many surveys one is recorded.
+  std::uint64_t Every = 1;
+};
+
 /// The settings of one daemon. Fixed from start to stop.
 struct Settings {
   std::string Instance;
@@ -81,6 +89,7 @@
   LimitSettings Limits;
   PolicySettings Policy;
   DrainSettings Drain;
+  TraceSettings Trace;
 };
 
 /// Reads settings from JSON with comments and checks every key. Fails with
