--- a/tools/bench/bench.py
+++ b/tools/bench/bench.py
@@ -5,6 +5,7 @@
 
 import argparse
 import os
+import statistics
 import sys
 import time
 
@@ -25,6 +26,8 @@
 # Scenarios in which all variants run; elsewhere only those of FEW_VARIANTS.
 ALL_VARIANTS_IN = {"fault-free", "straggler", "burst"}
 FEW_VARIANTS = ["tier", "round-robin", "no-hedging"]
+# Sub-requests of one request in each cost scenario.
+COST_FAN_OUTS = {"cost-lookup": 1, "cost-survey-10": 10, "cost-survey-15": 15}
 QUICK_SCENARIOS = ["fault-free", "straggler", "zone-cut", "burst"]
 
 
@@ -51,6 +54,8 @@
 
 
 def variants_of(scenario, arguments):
+    if scenario.load.startswith("cost"):
+        return ["tier"]
     if arguments.variant:
         names = arguments.variant
     elif scenario.name in ALL_VARIANTS_IN and arguments.mode == "full":
@@ -117,7 +122,23 @@
 
 
 def window_of(scenario):
-    return "reported" if scenario == "fault-free" else "during"
+    steady = scenario == "fault-free" or scenario.startswith("cost")
+    return "reported" if steady else "during"
+
+
+def print_costs(name, table):
+    """Processor time as a line through the cost scenarios: a query costs the
+    base and its sub-requests the slope each."""
+    points = []
+    for (scenario, _), runs in table.items():
+        if scenario in COST_FAN_OUTS:
+            cost = spread([r["processor_ms_per_request"] for r in runs])[1]
+            points.append((COST_FAN_OUTS[scenario], cost))
+    if len(points) < 2:
+        return
+    slope, base = statistics.linear_regression(*zip(*points))
+    print(f"\n{name}: processor time of all daemons: {1000 * base:.0f} us a query "
+          f"and {1000 * slope:.0f} us a sub-request, from {sorted(points)}")
 
 
 def print_table(name, table):
@@ -170,6 +191,7 @@
     tables, problems = run_all(arguments)
     for name, table in tables.items():
         print_table(name, table)
+        print_costs(name, table)
         print_goals(name, table)
     for problem in problems:
         print(f"problem: {problem}")
--- a/tools/bench/goals.py
+++ b/tools/bench/goals.py
@@ -82,7 +82,8 @@
     """After the fault, p99 is within the spread of the fault-free runs."""
     free = table.get(("fault-free", "tier"), [])
     for scenario, variant in sorted(table):
-        if variant != "tier" or scenario == "fault-free":
+        steady = scenario == "fault-free" or scenario.startswith("cost")
+        if variant != "tier" or steady:
             continue
         runs = table[(scenario, variant)]
         if scenario == "burst":
--- a/tools/bench/plans.py
+++ b/tools/bench/plans.py
@@ -35,6 +35,29 @@
 }
 
 
+# One kind of request alone, at a rate that keeps the servers far from full.
+COST_STREAMS = {
+    "escaparates": {
+        "cost-lookup": [("lookup", "register-search", "urgent", 1500, 800)],
+        "cost-survey-10": [("survey", "register-search", "ordinary", 200, 800)],
+        "cost-survey-15": [("survey", "landlord-desk", "ordinary", 150, 800)],
+    },
+    "rahbar": {
+        "cost-lookup": [("lookup", "counter-desk", "urgent", 1500, 300)],
+        "cost-survey-10": [("survey", "counter-desk", "ordinary", 200, 500)],
+        "cost-survey-15": [("survey", "stock-sync", "ordinary", 150, 500)],
+    },
+}
+
+
+def streams_of(deployment, scenario):
+    if scenario.load == "burst":
+        return BURST_STREAMS[deployment.name]
+    if scenario.load == "mixed":
+        return STREAMS[deployment.name]
+    return COST_STREAMS[deployment.name][scenario.load]
+
+
 def make_stream(deployment, stream):
     kind, service, priority, rate, timeout_ms = stream
     made = {"kind": kind, "service": service, "priority": priority,
@@ -46,12 +69,12 @@
 
 def make_plan(deployment, scenario, times, seed):
     """The plan of one run."""
-    table = BURST_STREAMS if scenario.burst else STREAMS
     plan = {
         "seed": seed, "length_s": times.length_s, "warmup_s": times.warmup_s,
         "sessions": 64,
-        "streams": [make_stream(deployment, s) for s in table[deployment.name]]}
-    if scenario.burst:
+        "streams": [make_stream(deployment, stream)
+                    for stream in streams_of(deployment, scenario)]}
+    if scenario.load == "burst":
         plan["phases"] = [{"from_s": times.fault_from_s,
                            "to_s": times.fault_to_s, "factor": BURST_FACTOR}]
     return plan
--- a/tools/bench/run.py
+++ b/tools/bench/run.py
@@ -119,9 +119,9 @@
         "connections_refused": sum(
             c["refused"] for c in fleet.connection_peaks().values()),
     }
-    if scenario.burst:
+    if scenario.load == "burst":
         result["burst_capacity"] = plans.burst_capacity(deployment, scenario)
-    else:
+    if scenario.load == "mixed":
         result["repeated_commands"] = len(
             fleet.repeated_commands(plans.command_services(deployment)))
     write_json(os.path.join(folder, "figures.json"), result)
--- a/tools/bench/scenarios.py
+++ b/tools/bench/scenarios.py
@@ -27,7 +27,8 @@
     name: str
     steps: Callable = lambda fleet, times: []
     service_time_ms: float = SERVICE_TIME_MS
-    burst: bool = False
+    # Table of streams in plans.py.
+    load: str = "mixed"
     # True if the daemons of the last zone get no requests.
     cut_last_zone: bool = False
 
@@ -154,9 +155,12 @@
     Scenario("dead-replica", dead_replica),
     Scenario("rolling-restart", rolling_restart),
     Scenario("zone-cut", zone_cut, cut_last_zone=True),
-    Scenario("burst", service_time_ms=BURST_SERVICE_TIME_MS, burst=True),
+    Scenario("burst", service_time_ms=BURST_SERVICE_TIME_MS, load="burst"),
     Scenario("version-change", version_change),
     Scenario("platform-down", platform_down),
+    Scenario("cost-lookup", load="cost-lookup"),
+    Scenario("cost-survey-10", load="cost-survey-10"),
+    Scenario("cost-survey-15", load="cost-survey-15"),
 ]
 
 # Each variant differs from "tier" in the policy settings alone.
