--- a/tests/load/AnswerCheckerTest.cpp
+++ b/tests/load/AnswerCheckerTest.cpp
@@ -42,6 +42,7 @@
   EXPECT_EQ(faultOf(makeBody()), AnswerFault::None);
   EXPECT_EQ(Record.CoverageWanted, 3);
   EXPECT_EQ(Record.CoverageCovered, 2);
+  EXPECT_EQ(Record.Missing, (std::map<std::string, int>{{"timeout", 1}}));
   EXPECT_EQ(Record.Version, 4U);
   EXPECT_EQ(Record.State, RunState::Ran);
   EXPECT_EQ(Record.RetryAfter, absl::Milliseconds(250));
--- a/tools/bench/bench.py
+++ b/tools/bench/bench.py
@@ -168,6 +168,17 @@
                   f"{number(cpu, 3):>7}")
 
 
+def print_machine(name, table):
+    """How much else ran on the machine, and what that did to the driver."""
+    runs = [r for group in table.values() for r in group]
+    for key, text in (("machine_busy", "busy share of all cores"),
+                      ("machine_stolen", "share stolen by the host"),
+                      ("send_late_p99_ms", "driver's send lateness, p99, ms")):
+        least, mid, greatest = spread([r[key] for r in runs])
+        print(f"{name}: {text}: {number(least, 3)} to {number(greatest, 3)}, "
+              f"median {number(mid, 3)}")
+
+
 def print_goals(name, table):
     print(f"\n{name}: goals")
     for goal, value, limit, relation, outcome in goals.judge(table):
@@ -191,6 +202,7 @@
     tables, problems = run_all(arguments)
     for name, table in tables.items():
         print_table(name, table)
+        print_machine(name, table)
         print_costs(name, table)
         print_goals(name, table)
     for problem in problems:
--- a/tools/bench/figures.py
+++ b/tools/bench/figures.py
@@ -19,6 +19,15 @@
     return ordered[rank - 1]
 
 
+def missing_by_reason(answers):
+    """Missing shards of all answers by the reason that the answers state."""
+    reasons = {}
+    for answer in answers:
+        for reason, count in answer["missing"].items():
+            reasons[reason] = reasons.get(reason, 0) + count
+    return reasons
+
+
 def summarize(records):
     """Figures of some records; latencies in ms over all answers."""
     answers = [r for r in records if r["status"] == 200]
@@ -38,6 +47,7 @@
         "p99_ms": quantile(latencies, 0.99),
         "p999_ms": quantile(latencies, 0.999),
         "coverage": sum(r["covered"] for r in answers) / wanted if wanted else None,
+        "missing": missing_by_reason(answers),
         "shards_covered": sum(r["covered"] for r in answers),
     }
 
--- a/tools/bench/processes.py
+++ b/tools/bench/processes.py
@@ -10,6 +10,13 @@
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
+def machine_times():
+    """(all, idle, stolen) seconds of all cores since the start."""
+    with open("/proc/stat", encoding="utf-8") as stat:
+        fields = [int(f) / CLOCK_TICKS for f in stat.readline().split()[1:9]]
+    return sum(fields), fields[3] + fields[4], fields[7]
+
+
 class ProcessError(RuntimeError):
     """A process did not start, or ended when it should not have."""
 
--- a/tools/bench/run.py
+++ b/tools/bench/run.py
@@ -8,7 +8,7 @@
 import figures
 import plans
 from fleet import Fleet
-from processes import Process, ProcessError
+from processes import Process, ProcessError, machine_times
 from scenarios import Step
 
 START_TIMEOUT_S = 30
@@ -57,7 +57,8 @@
     def take(self, name):
         self.samples[name] = {
             "attempts": sum(self._fleet.attempts().values()),
-            "processor_s": self._fleet.processor_seconds()}
+            "processor_s": self._fleet.processor_seconds(),
+            "machine_s": machine_times()}
 
 
 def run(binaries, deployment, scenario, policy, times, seed, options, folder):
@@ -103,10 +104,16 @@
         made = samples[last]["attempts"] - samples[first]["attempts"]
         return made / needed - 1 if needed else None
 
+    machine = [last - first for first, last
+               in zip(samples["start"]["machine_s"], samples["end"]["machine_s"])]
     processor_s = samples["end"]["processor_s"] - samples["start"]["processor_s"]
     result = {
         "times": asdict(times),
         "step_lateness_s": late_s,
+        "machine_busy": 1 - machine[1] / machine[0],
+        "machine_stolen": machine[2] / machine[0],
+        "send_late_p99_ms": figures.quantile(
+            sorted(r["late_ms"] for r in records), 0.99),
         "extra_load": extra_load("start", "end", records),
         "extra_load_during": extra_load("fault_from", "fault_to", during),
         "processor_ms_per_request": 1000 * processor_s / max(len(records), 1),
--- a/tools/load/AnswerChecker.cpp
+++ b/tools/load/AnswerChecker.cpp
@@ -51,8 +51,11 @@
   if (!List.is_array())
     return AnswerFault::Malformed;
   for (const json &Entry : List) {
-    if (!Entry.is_object() || stringAt(Entry, "reason").empty())
+    const std::string Reason =
+        Entry.is_object() ? stringAt(Entry, "reason") : std::string();
+    if (Reason.empty())
       return AnswerFault::Malformed;
+    ++Record.Missing[Reason];
     if (!Missing.insert(stringAt(Entry, "shard")).second)
       return AnswerFault::WrongCoverage;
   }
--- a/tools/load/DirectCaller.cpp
+++ b/tools/load/DirectCaller.cpp
@@ -88,6 +88,7 @@
   LoadRecord Record;
   Record.Sequence = Next.Sequence;
   Record.Offset = Next.Offset;
+  Record.Lateness = Timer.now() - Intended;
   Record.Kind = Stream.Kind;
   Record.Service = Stream.Service;
   Record.Urgency = Stream.Urgency;
--- a/tools/load/LoadRecord.cpp
+++ b/tools/load/LoadRecord.cpp
@@ -15,6 +15,7 @@
   nlohmann::ordered_json Line;
   Line["seq"] = Record.Sequence;
   Line["offset_ms"] = absl::ToDoubleMilliseconds(Record.Offset);
+  Line["late_ms"] = absl::ToDoubleMilliseconds(Record.Lateness);
   Line["latency_ms"] = absl::ToDoubleMilliseconds(Record.Latency);
   Line["kind"] = text(nameOf(RequestKindNames, Record.Kind));
   Line["service"] = Record.Service;
@@ -27,6 +28,7 @@
   Line["request_id"] = Record.RequestId;
   Line["wanted"] = Record.CoverageWanted;
   Line["covered"] = Record.CoverageCovered;
+  Line["missing"] = Record.Missing;
   Line["version"] = Record.Version;
   Line["retry_after_ms"] = absl::ToDoubleMilliseconds(Record.RetryAfter);
   Line["fault"] = text(nameOf(AnswerFaultNames, Record.Fault));
--- a/tools/load/LoadRecord.h
+++ b/tools/load/LoadRecord.h
@@ -7,6 +7,7 @@
 #include "quetzallead/RunState.h"
 #include "quetzallead/Time.h"
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -17,6 +18,8 @@
   std::uint64_t Sequence = 0;
   /// Intended send time, from the start of the run.
   Duration Offset;
+  /// From the intended to the real send time.
+  Duration Lateness;
   /// From the intended send time to the end of the answer.
   Duration Latency;
   RequestKind Kind = RequestKind::Survey;
@@ -31,6 +34,8 @@
   std::string RequestId;
   int CoverageWanted = 0;
   int CoverageCovered = 0;
+  /// Missing shards by the reason that the answer states.
+  std::map<std::string, int> Missing;
   std::uint64_t Version = 0;
   /// Zero if the answer names no time to come back.
   Duration RetryAfter;
--- a/tools/load/TierCaller.cpp
+++ b/tools/load/TierCaller.cpp
@@ -137,6 +137,7 @@
   Request->Expected.SeenVersion = Request->Session.seenVersion(Stream.Service);
   Request->Record.Sequence = Next.Sequence;
   Request->Record.Offset = Next.Offset;
+  Request->Record.Lateness = Timer.now() - Intended;
   Request->Record.Kind = Stream.Kind;
   Request->Record.Service = Stream.Service;
   Request->Record.Urgency = Stream.Urgency;
