--- a/include/quetzallead/ReplicaSet.h
+++ b/include/quetzallead/ReplicaSet.h
@@ -132,6 +132,7 @@
   /// the replicas that the sheet no longer has.
   std::vector<HeldVersions> heldVersions(ReplicaMask &Removed) const;
   std::size_t queueLength() const;
+  std::size_t queueLength(Priority Urgency) const;
 
 private:
   struct Server {
--- a/src/core/routing/ReplicaSet.cpp
+++ b/src/core/routing/ReplicaSet.cpp
@@ -533,6 +533,11 @@
   return Held;
 }
 
+std::size_t ReplicaSet::queueLength(Priority Urgency) const {
+  absl::MutexLock Lock(&Mutex);
+  return Queues[static_cast<int>(Urgency)].size();
+}
+
 std::size_t ReplicaSet::queueLength() const {
   absl::MutexLock Lock(&Mutex);
   return Queued;
--- a/src/daemon/CallerFrontend.cpp
+++ b/src/daemon/CallerFrontend.cpp
@@ -9,6 +9,7 @@
 #include "daemon/Problem.h"
 #include "daemon/QueryPlanner.h"
 #include "daemon/SessionService.h"
+#include "runtime/Metrics.h"
 #include "runtime/TimerService.h"
 #include <nlohmann/json.hpp>
 
@@ -30,6 +31,9 @@
   std::shared_ptr<const ClusterView> View;
   std::shared_ptr<const ServiceView> Target;
   bool Admitted = false;
+  /// Shards wanted and covered; 0 for anything but a query.
+  std::size_t Wanted = 0;
+  std::size_t Covered = 0;
 };
 
 CallerFrontend::CallerFrontend(const Settings &S, ClusterDirectory &Dir,
@@ -206,6 +210,8 @@
   QuerySession::start(Env, std::move(Job), [=](const QueryOutcome &Outcome) {
     HttpResponse Response =
         answerResponse(E->Context.RequestId, E->Service, Kind, Outcome);
+    E->Wanted = Outcome.Result.Wanted;
+    E->Covered = Outcome.Result.Covered;
     std::uint64_t Version =
         Outcome.Result.Covered > 0 ? Outcome.Result.Taken.Version : 0;
     finish(E, std::move(Response), Version);
@@ -232,6 +238,32 @@
   finish(E, problemResponse(P, E->Context.RequestId), 0);
 }
 
+static RequestOutcome outcomeOfStatus(int Status, bool Complete) {
+  if (Status < 300)
+    return Complete ? RequestOutcome::Complete : RequestOutcome::Partial;
+  if (Status == statusOf(ProblemType::Overloaded) ||
+      Status == statusOf(ProblemType::Draining))
+    return RequestOutcome::Refused;
+  if (Status == statusOf(ProblemType::Deadline))
+    return RequestOutcome::Deadline;
+  if (Status == statusOf(ProblemType::RunUnknown))
+    return RequestOutcome::Unknown;
+  return Status < 500 ? RequestOutcome::Invalid : RequestOutcome::Failed;
+}
+
+void CallerFrontend::count(const Exchange &E, int Status) {
+  RequestSample Sample;
+  Sample.Service = E.Service;
+  Sample.Urgency = E.Context.Urgency;
+  Sample.Outcome = outcomeOfStatus(Status, E.Covered == E.Wanted);
+  Sample.Elapsed = Env.Timers.now() - E.Context.Received;
+  Sample.WantedShards = static_cast<int>(E.Wanted);
+  Sample.CoveredShards = static_cast<int>(E.Covered);
+  Env.Meter.requestEnded(Sample);
+  if (Status == statusOf(ProblemType::Overloaded))
+    Env.Meter.requestShed(E.Service, E.Context.Urgency);
+}
+
 void CallerFrontend::finish(const ExchangePtr &E, HttpResponse Response,
                             std::uint64_t Version) {
   if (Response.Headers.find("X-Request-Id") == nullptr)
@@ -240,6 +272,7 @@
     Response.Headers.add(
         "Quetzallead-Session",
         Sessions.renew(*E->Session, E->Service, Version, Env.Timers.now()));
+  count(*E, Response.Status);
   E->Respond(std::move(Response));
   if (E->Admitted)
     Gate.leave();
--- a/src/daemon/CallerFrontend.h
+++ b/src/daemon/CallerFrontend.h
@@ -46,6 +46,7 @@
   void command(const ExchangePtr &E);
   void runQuery(const ExchangePtr &E, QueryJob Job);
   bool resumeSession(const ExchangePtr &E);
+  void count(const Exchange &E, int Status);
   void refuse(const ExchangePtr &E, const Problem &P);
   void finish(const ExchangePtr &E, HttpResponse Response,
               std::uint64_t Version);
--- a/src/daemon/CommandService.cpp
+++ b/src/daemon/CommandService.cpp
@@ -7,6 +7,7 @@
 #include "daemon/CommandWire.h"
 #include "daemon/DecisionRing.h"
 #include "daemon/ServerEvents.h"
+#include "runtime/Metrics.h"
 #include "transport/http/HttpClient.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -217,6 +218,7 @@
     R.Sent = Now;
     R.Cause =
         A->Action.Attempt == 1 ? AttemptCause::First : AttemptCause::Retry;
+    Env.Meter.attemptStarted(P.Job.Service, R.Cause);
     P.Record.Attempts.push_back(std::move(R));
     Call = makeCall(P, *A, Server, Now);
   }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -9,12 +9,14 @@
 #include "daemon/FleetService.h"
 #include "daemon/HealthProber.h"
 #include "daemon/ListService.h"
+#include "daemon/MetricsPublisher.h"
 #include "daemon/Secrets.h"
 #include "daemon/SessionService.h"
 #include "daemon/Settings.h"
 #include "daemon/SheetService.h"
 #include "daemon/TraceFile.h"
 #include "runtime/Logger.h"
+#include "runtime/Metrics.h"
 #include "runtime/TimerService.h"
 #include "runtime/Version.h"
 #include "transport/http/HttpClient.h"
@@ -65,9 +67,11 @@
 
 class RunningDaemon : public Daemon {
 public:
-  RunningDaemon(Settings S, const Secrets &Keys, KeyRing Ring)
-      : Options(std::move(S)), OperatorToken(Keys.OperatorToken),
-        PeerKeys(Keys.PeerKeys), Timers(TimerService::make()),
+  RunningDaemon(Settings S, const Secrets &Keys, KeyRing Ring,
+                std::unique_ptr<Metrics> MetricsPart)
+      : Options(std::move(S)), Meter(std::move(MetricsPart)),
+        OperatorToken(Keys.OperatorToken), PeerKeys(Keys.PeerKeys),
+        Timers(TimerService::make()),
         Incarnation(startIncarnation(Timers->now())), Directory(Options),
         Decisions(DecisionCapacity),
         Traces(Options.Trace.File, Options.Trace.Every),
@@ -78,6 +82,7 @@
         Sheets(Directory, Platform, *Timers, Incarnation),
         Lists(Options, Directory, Platform, *Timers),
         Prober(Directory, *Client, *Timers),
+        Publisher(Directory, *Meter, *Timers),
         Fleet(Options, Incarnation, *Timers, fleetHandlers()),
         Commands(
             Directory, environment(), Options.Instance, Incarnation,
@@ -97,6 +102,7 @@
     CallerServer.reset();
     AdminServer.reset();
     Prober.stop();
+    Publisher.stop();
     Sheets.stop();
     Fleet.quiesce();
     // Ends what is in flight while the parts it reports to still stand.
@@ -119,6 +125,7 @@
     Sheets.start(Fleet);
     Lists.start(Fleet);
     Prober.start(Fleet);
+    Publisher.start(Fleet);
     Result<std::unique_ptr<HttpServer>> AdminSide =
         HttpServer::make(serverOptions(Options.AdminListen),
                          [this](const HttpRequest &Request,
@@ -133,7 +140,8 @@
               {"zone", Options.Zone},
               {"incarnation", Incarnation},
               {"caller_port", CallerServer->port()},
-              {"admin_port", AdminServer->port()}});
+              {"admin_port", AdminServer->port()},
+              {"metrics_port", Meter->port()}});
     return {};
   }
 
@@ -289,7 +297,11 @@
 
   QueryEnvironment environment() {
     return QueryEnvironment{
-        *Client, *Timers, Decisions, Traces,
+        *Client,
+        *Timers,
+        Decisions,
+        Traces,
+        *Meter,
         [this](const std::string &Server, AttemptResult Result) {
           onServerEvent(Server, Result);
         }};
@@ -319,6 +331,7 @@
   }
 
   const Settings Options;
+  const std::unique_ptr<Metrics> Meter;
   const std::string OperatorToken;
   const std::vector<std::string> PeerKeys;
   std::unique_ptr<TimerService> Timers;
@@ -333,6 +346,7 @@
   SheetService Sheets;
   ListService Lists;
   HealthProber Prober;
+  MetricsPublisher Publisher;
   FleetService Fleet;
   CommandService Commands;
   CallerFrontend Callers;
@@ -347,8 +361,12 @@
   Result<KeyRing> Ring = makeKeyRing(Keys);
   if (!Ring)
     return Ring.error();
-  auto Running = std::make_unique<RunningDaemon>(std::move(S), Keys,
-                                                 std::move(Ring.value()));
+  MetricsOptions Exposed{S.MetricsListen, S.Instance, S.Zone};
+  Result<std::unique_ptr<Metrics>> Meter = Metrics::make(Exposed);
+  if (!Meter)
+    return Meter.error();
+  auto Running = std::make_unique<RunningDaemon>(
+      std::move(S), Keys, std::move(Ring.value()), std::move(Meter.value()));
   Result<void> Listening = Running->listen();
   if (!Listening)
     return Listening.error();
--- a/src/daemon/FleetService.cpp
+++ b/src/daemon/FleetService.cpp
@@ -408,6 +408,11 @@
   return All;
 }
 
+std::string FleetService::self() const {
+  absl::MutexLock Lock(&Mutex);
+  return Members.self().Name;
+}
+
 std::string FleetService::address() const {
   absl::MutexLock Lock(&Mutex);
   return Members.self().Address;
--- a/src/daemon/FleetService.h
+++ b/src/daemon/FleetService.h
@@ -60,6 +60,8 @@
   std::vector<std::string> successors(std::size_t Count) const;
   /// This instance and all that it knows of.
   std::vector<MemberRecord> members() const;
+  /// Name of this instance.
+  std::string self() const;
   /// "ip:port" of the peer listener.
   std::string address() const;
   /// Operators' view of members().
--- a/src/daemon/QueryEnvironment.h
+++ b/src/daemon/QueryEnvironment.h
@@ -9,6 +9,7 @@
 
 class DecisionRing;
 class HttpClient;
+class Metrics;
 class TimerService;
 class TraceFile;
 
@@ -18,6 +19,7 @@
   TimerService &Timers;
   DecisionRing &Decisions;
   TraceFile &Traces;
+  Metrics &Meter;
   /// Told of each attempt that says something of its backend server as a whole.
   std::function<void(const std::string &Server, AttemptResult)> OnServerEvent;
 };
--- a/src/daemon/QuerySession.cpp
+++ b/src/daemon/QuerySession.cpp
@@ -3,6 +3,7 @@
 #include "daemon/DecisionRing.h"
 #include "daemon/ServerEvents.h"
 #include "daemon/TraceFile.h"
+#include "runtime/Metrics.h"
 #include <algorithm>
 #include <deque>
 
@@ -171,6 +172,7 @@
   R.Version = Action.Version;
   R.Sent = Now;
   R.Cause = Action.Cause;
+  Env.Meter.attemptStarted(Record.Service, Action.Cause);
   Record.Attempts.push_back(std::move(R));
   ++LiveCount;
   HttpCall Call = makeCall(A, Server, Now);
