Answer revision 0 where no sheet is in force yet, so that the first can be submitted

Cause: the tool reads the revision in force before it submits; the daemon answered 503 before the first sheet. Ruled out: a wrong token (other calls passed).

--- a/src/daemon/SheetService.cpp
+++ b/src/daemon/SheetService.cpp
@@ -1,7 +1,6 @@
 #include "daemon/SheetService.h"
 #include "daemon/ClusterDirectory.h"
 #include "daemon/FleetService.h"
-#include "daemon/Problem.h"
 #include "quetzallead/SheetCodec.h"
 #include "quetzallead/SheetDelta.h"
 #include "quetzallead/SheetDocumentCodec.h"
@@ -276,10 +275,11 @@
 
 HttpResponse SheetService::current() const {
   std::shared_ptr<const SheetDocument> Document = inForce();
-  if (Document == nullptr)
-    return problemResponse({ProblemType::NoSheet, "no sheet is in force here"},
-                           "");
   ordered_json Body;
+  if (Document == nullptr) {
+    Body["revision"] = 0;
+    return jsonResponse(Body);
+  }
   Body["revision"] = Document->Revision;
   Body["digest"] = Document->Digest;
   Body["sheet"] = sheetToJson(Document->Content);
