--- a/src/transport/peer/PeerTransport.cpp
+++ b/src/transport/peer/PeerTransport.cpp
@@ -35,6 +35,8 @@
 /// Time that the destructor gives the closing handshakes.
 constexpr Duration StopLimit = absl::Seconds(1);
 
+// The library's names.
+// NOLINTBEGIN(readability-identifier-naming)
 struct ServerConfig : websocketpp::config::asio {
   static const std::size_t max_message_size = MaxPeerFrameBytes;
   static const std::size_t max_http_body_size = MaxHandshakeFrameBytes;
@@ -48,6 +50,7 @@
   static const long timeout_open_handshake = HandshakeTimeoutMs;
   static const long timeout_close_handshake = CloseTimeoutMs;
 };
+// NOLINTEND(readability-identifier-naming)
 
 using Server = websocketpp::server<ServerConfig>;
 using Client = websocketpp::client<ClientConfig>;
@@ -131,12 +134,12 @@
   void setUpClient();
   void dial(const std::string &Address);
   void onDialFailed(const std::string &Address, const std::string &Reason);
-  void onServerFail(connection_hdl Handle);
+  void onServerFail(const connection_hdl &Handle);
   template <typename Endpoint>
-  void openLink(Endpoint &Via, connection_hdl Handle, PeerHandshake Handshake,
-                const std::string &Remote);
+  void openLink(Endpoint &Via, const connection_hdl &Handle,
+                PeerHandshake Handshake, const std::string &Remote);
   template <typename Endpoint>
-  void bindLink(Endpoint &Via, connection_hdl Handle, const LinkPtr &L);
+  void bindLink(Endpoint &Via, const connection_hdl &Handle, const LinkPtr &L);
 
   template <typename MessagePtr>
   void onMessage(const LinkPtr &L, const MessagePtr &Message);
@@ -158,8 +161,8 @@
               const char *Event, const std::string &Detail);
   void reportRefused(const char *Event, const std::string &Remote,
                      const std::string &Detail);
-  void startCall(const LinkPtr &L, std::uint64_t Call, OpenCall Open,
-                 std::string Bytes);
+  void startCall(const LinkPtr &L, std::uint64_t Call, OpenCall &Open,
+                 const std::string &Bytes);
   void endCall(std::uint64_t Call, PeerCallOutcome Outcome);
   void loseCalls(PeerId Id);
   void tick();
@@ -198,7 +201,7 @@
 }
 
 template <typename Endpoint> void sendSmallFramesAtOnce(Endpoint &E) {
-  E.set_tcp_post_init_handler([&E](connection_hdl Handle) {
+  E.set_tcp_post_init_handler([&E](const connection_hdl &Handle) {
     websocketpp::lib::error_code Code;
     auto Connection = E.get_con_from_hdl(Handle, Code);
     boost::system::error_code Ignored;
@@ -231,7 +234,7 @@
   silence(Acceptor);
   Acceptor.init_asio(&Io, Code);
   sendSmallFramesAtOnce(Acceptor);
-  Acceptor.set_validate_handler([this](connection_hdl Handle) {
+  Acceptor.set_validate_handler([this](const connection_hdl &Handle) {
     websocketpp::lib::error_code Missing;
     auto Connection = Acceptor.get_con_from_hdl(Handle, Missing);
     std::size_t Handshakes = Links.size() - ByInstance.size();
@@ -239,8 +242,8 @@
            Handshakes < MaxHandshakes;
   });
   Acceptor.set_fail_handler(
-      [this](connection_hdl Handle) { onServerFail(Handle); });
-  Acceptor.set_open_handler([this](connection_hdl Handle) {
+      [this](const connection_hdl &Handle) { onServerFail(Handle); });
+  Acceptor.set_open_handler([this](const connection_hdl &Handle) {
     websocketpp::lib::error_code Missing;
     auto Connection = Acceptor.get_con_from_hdl(Handle, Missing);
     if (Connection)
@@ -309,11 +312,11 @@
     onDialFailed(Address, Code.message());
     return;
   }
-  Connection->set_open_handler([this, Address](connection_hdl Handle) {
+  Connection->set_open_handler([this, Address](const connection_hdl &Handle) {
     openLink(Dialler, Handle, PeerHandshake::dial(Options.Self, Options.Keys),
              Address);
   });
-  Connection->set_fail_handler([this, Address](connection_hdl Handle) {
+  Connection->set_fail_handler([this, Address](const connection_hdl &Handle) {
     websocketpp::lib::error_code Missing;
     auto Failed = Dialler.get_con_from_hdl(Handle, Missing);
     onDialFailed(Address, Failed ? Failed->get_ec().message() : "failed");
@@ -328,7 +331,7 @@
     Handlers.OnConnectFailed(Address, Reason);
 }
 
-void PeerHub::onServerFail(connection_hdl Handle) {
+void PeerHub::onServerFail(const connection_hdl &Handle) {
   websocketpp::lib::error_code Missing;
   auto Failed = Acceptor.get_con_from_hdl(Handle, Missing);
   ++Totals.StrangersRefused;
@@ -337,7 +340,7 @@
 }
 
 template <typename Endpoint>
-void PeerHub::openLink(Endpoint &Via, connection_hdl Handle,
+void PeerHub::openLink(Endpoint &Via, const connection_hdl &Handle,
                        PeerHandshake Handshake, const std::string &Remote) {
   auto L =
       std::make_shared<Link>(NextId.fetch_add(1), std::move(Handshake), Remote);
@@ -351,20 +354,24 @@
 }
 
 template <typename Endpoint>
-void PeerHub::bindLink(Endpoint &Via, connection_hdl Handle, const LinkPtr &L) {
+void PeerHub::bindLink(Endpoint &Via, const connection_hdl &Handle,
+                       const LinkPtr &L) {
   auto Connection = Via.get_con_from_hdl(Handle);
   Connection->set_message_handler(
-      [this, L](connection_hdl, typename Endpoint::message_ptr Message) {
+      [this, L](const connection_hdl &,
+                typename Endpoint::message_ptr Message) {
         onMessage(L, Message);
       });
-  Connection->set_ping_handler([this, L](connection_hdl, std::string Payload) {
-    onControl(L, Payload.size());
-    return true;
-  });
-  Connection->set_pong_handler([this, L](connection_hdl, std::string Payload) {
-    onControl(L, Payload.size());
-  });
-  Connection->set_close_handler([this, L, &Via](connection_hdl Closed) {
+  Connection->set_ping_handler(
+      [this, L](const connection_hdl &, const std::string &Payload) {
+        onControl(L, Payload.size());
+        return true;
+      });
+  Connection->set_pong_handler(
+      [this, L](const connection_hdl &, const std::string &Payload) {
+        onControl(L, Payload.size());
+      });
+  Connection->set_close_handler([this, L, &Via](const connection_hdl &Closed) {
     websocketpp::lib::error_code Missing;
     auto Ended = Via.get_con_from_hdl(Closed, Missing);
     onClosed(L,
@@ -610,13 +617,11 @@
   });
   L->Queued += Bytes.size();
   post([this, L, Call, Shared = std::make_shared<OpenCall>(std::move(Open)),
-        Moved = std::move(Bytes)] {
-    startCall(L, Call, std::move(*Shared), Moved);
-  });
+        Moved = std::move(Bytes)] { startCall(L, Call, *Shared, Moved); });
 }
 
-void PeerHub::startCall(const LinkPtr &L, std::uint64_t Call, OpenCall Open,
-                        std::string Bytes) {
+void PeerHub::startCall(const LinkPtr &L, std::uint64_t Call, OpenCall &Open,
+                        const std::string &Bytes) {
   L->Queued -= Bytes.size();
   if (L->Closed) {
     Open.Done({PeerCallStatus::NotSent, nullptr});
