--- a/tests/core/SheetStorePropertyTest.cpp
+++ b/tests/core/SheetStorePropertyTest.cpp
@@ -302,8 +302,7 @@
   }
 }
 
-RC_GTEST_PROP(SheetStorePropertyTest,
-              LostAnswersRacesAndRestartsAreToldTruthfully, ()) {
+static void checkScheduleWithRestarts() {
   SheetStoreOptions Options;
   Options.MaxAuditInside = 6;
   Options.AuditBlockSize = 3;
@@ -327,8 +326,7 @@
   }
 }
 
-RC_GTEST_PROP(SheetStorePropertyTest, RestoredStoresNeverLoseAnAcceptedChange,
-              ()) {
+static void checkScheduleWithRestores() {
   Fleet F(3, SheetStoreOptions());
   runSchedule(F, Faults::LostAnswersAndRestores);
   checkAgreement(F);
@@ -337,3 +335,18 @@
     if (Outcomes.count(SubmissionOutcome::Accepted) > 0)
       RC_ASSERT(timesIn(Trail, Id) == 1);
 }
+
+/// Schedules run in each case of a property, as rare faults need many.
+static constexpr int SchedulesPerCase = 10;
+
+RC_GTEST_PROP(SheetStorePropertyTest,
+              LostAnswersRacesAndRestartsAreToldTruthfully, ()) {
+  for (int I = 0; I < SchedulesPerCase; ++I)
+    checkScheduleWithRestarts();
+}
+
+RC_GTEST_PROP(SheetStorePropertyTest, RestoredStoresNeverLoseAnAcceptedChange,
+              ()) {
+  for (int I = 0; I < SchedulesPerCase; ++I)
+    checkScheduleWithRestores();
+}
