--- a/src/transport/http/CurlTransfer.cpp
+++ b/src/transport/http/CurlTransfer.cpp
@@ -53,6 +53,13 @@
          Call.Method == "PATCH";
 }
 
+/// True if \p StatusLine, "HTTP/1.1 CODE REASON", has a code from 100 to 199.
+bool isInterim(absl::string_view StatusLine) {
+  std::size_t Space = StatusLine.find(' ');
+  return Space != absl::string_view::npos &&
+         absl::StartsWith(StatusLine.substr(Space + 1), "1");
+}
+
 long timeoutMs(Duration Timeout) {
   auto Ms =
       absl::ToInt64Milliseconds(absl::Ceil(Timeout, absl::Milliseconds(1)));
@@ -196,8 +203,11 @@
     // The final response replaces an interim one.
     Response.Headers = HttpFields();
     Echoed = false;
+    Interim = isInterim(Line);
     return !TooLarge;
   }
+  if (Line.empty() && !Interim)
+    HeaderEnded = true;
   std::size_t Colon = Line.find(':');
   if (Colon != absl::string_view::npos)
     acceptHeaderField(
@@ -217,7 +227,8 @@
 }
 
 TransferFailure CurlTransfer::classify(int CurlCode) const {
-  if (CurlCode == CURLE_OK)
+  // The library takes a header that the connection's end cut short for whole.
+  if (CurlCode == CURLE_OK && HeaderEnded)
     return TransferFailure::None;
   if (TooLarge)
     return TransferFailure::TooLarge;
@@ -227,8 +238,8 @@
 }
 
 std::string CurlTransfer::describe(int CurlCode) const {
-  if (RepeatRefused)
-    return "the connection ended before a response";
+  if (RepeatRefused || CurlCode == CURLE_OK)
+    return "the connection ended before a whole response";
   if (ErrorText[0] != '\0')
     return ErrorText.data();
   return curl_easy_strerror(static_cast<CURLcode>(CurlCode));
@@ -236,7 +247,7 @@
 
 HttpOutcome CurlTransfer::finish(int CurlCode) {
   HttpOutcome Outcome = fail(classify(CurlCode));
-  if (CurlCode != CURLE_OK) {
+  if (Outcome.Failure != TransferFailure::None) {
     Outcome.Detail = describe(CurlCode);
     return Outcome;
   }
--- a/src/transport/http/CurlTransfer.h
+++ b/src/transport/http/CurlTransfer.h
@@ -63,6 +63,10 @@
   bool RepeatRefused = false;
   bool TooLarge = false;
   bool Echoed = false;
+  /// The status line read last is an interim response's.
+  bool Interim = false;
+  /// The empty line that ends the final response's header was read.
+  bool HeaderEnded = false;
   HttpResponse Response;
   std::string Malformed;
   /// As large as libcurl's CURL_ERROR_SIZE.
