Follow key rotations without a restart; refuse frames and replies that would end the process

Cause: a property test of the command codec found that the CBOR reader throws on a stated array size even with exceptions off, which would end the daemon; and a backend server's reply nested a million deep would overflow the stack when it is written out again. Change: the wire uses the checked CBOR reader; replies are looked over for their nesting before they are parsed; the secrets file is read again when its text has changed.

--- a/src/core/base/JsonText.cpp
+++ b/src/core/base/JsonText.cpp
@@ -101,4 +101,24 @@
   return Parsed;
 }
 
+bool nestsWithin(absl::string_view Text, std::size_t MaxDepth) {
+  std::size_t Depth = 0;
+  bool InString = false;
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    char C = Text[Index];
+    if (InString) {
+      if (C == '\\')
+        ++Index;
+      InString = C != '"';
+      continue;
+    }
+    InString = C == '"';
+    if ((C == '[' || C == '{') && ++Depth > MaxDepth)
+      return false;
+    if ((C == ']' || C == '}') && Depth > 0)
+      --Depth;
+  }
+  return true;
+}
+
 } // namespace quetzallead
--- a/src/core/base/JsonText.h
+++ b/src/core/base/JsonText.h
@@ -23,6 +23,11 @@
 Result<nlohmann::json> parseJsonText(absl::string_view Text,
                                      const JsonLimits &Limits = JsonLimits());
 
+/// True if no more than \p MaxDepth arrays and objects are nested in \p Text,
+/// which need not be well-formed. Much cheaper than a parse; for texts that are
+/// parsed without parseJsonText(), since writing deep values recurses.
+bool nestsWithin(absl::string_view Text, std::size_t MaxDepth);
+
 } // namespace quetzallead
 
 #endif // QUETZALLEAD_CORE_BASE_JSONTEXT_H
--- a/src/core/command/CommandLedger.h
+++ b/src/core/command/CommandLedger.h
@@ -53,6 +53,11 @@
   CommandLedger(std::string Instance, std::uint64_t Incarnation,
                 std::shared_ptr<const KeyRing> Keys, StandingOf Standing);
 
+  /// Follows a rotation of the keys.
+  void replaceKeys(std::shared_ptr<const KeyRing> Ring) {
+    Keys = std::move(Ring);
+  }
+
   /// A ticket to offer to a caller; empty while draining. Any thread.
   std::string issueTicket(TimePoint Now);
 
--- a/src/daemon/BackendCodec.cpp
+++ b/src/daemon/BackendCodec.cpp
@@ -1,5 +1,6 @@
 #include "daemon/BackendCodec.h"
 #include "absl/strings/str_cat.h"
+#include "core/base/JsonText.h"
 #include "transport/http/HttpClient.h"
 
 namespace quetzallead {
@@ -13,6 +14,8 @@
 static constexpr int StatusCancelled = 499;
 static constexpr int StatusUnavailable = 503;
 static constexpr int StatusTimeout = 504;
+/// Nesting of arrays and objects in a reply.
+static constexpr std::size_t MaxReplyDepth = 64;
 
 std::string encodeSubRequest(const SubRequestTemplate &Template,
                              const std::string &Id, std::uint64_t Version) {
@@ -111,6 +114,10 @@
     Out.Detail = "reply to another request";
     return Out;
   }
+  if (!nestsWithin(Outcome.Response.Body, MaxReplyDepth)) {
+    Out.Detail = "reply is nested too deep";
+    return Out;
+  }
   json Body = json::parse(Outcome.Response.Body, nullptr,
                           /*allow_exceptions=*/false);
   if (!Body.is_object() || textField(Body, "id") != Id) {
--- a/src/daemon/CallerFrontend.cpp
+++ b/src/daemon/CallerFrontend.cpp
@@ -1,6 +1,7 @@
 #include "daemon/CallerFrontend.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "core/base/JsonText.h"
 #include "daemon/AnswerCodec.h"
 #include "daemon/CallerRequest.h"
 #include "daemon/ClusterDirectory.h"
@@ -138,7 +139,9 @@
 void CallerFrontend::openSession(const ExchangePtr &E) {
   std::string Caller;
   if (!E->Request.Body.empty()) {
-    auto Body = nlohmann::json::parse(E->Request.Body, nullptr, false);
+    nlohmann::json Body;
+    if (nestsWithin(E->Request.Body, 1))
+      Body = nlohmann::json::parse(E->Request.Body, nullptr, false);
     bool Named = Body.is_object() && Body.contains("caller") &&
                  Body["caller"].is_string();
     if (!Body.is_object() || (!Body.empty() && !Named))
--- a/src/daemon/CommandService.cpp
+++ b/src/daemon/CommandService.cpp
@@ -64,6 +64,11 @@
   return Ledger.issueTicket(Now);
 }
 
+void CommandService::replaceKeys(std::shared_ptr<const KeyRing> Keys) {
+  absl::MutexLock Lock(&Mutex);
+  Ledger.replaceKeys(std::move(Keys));
+}
+
 void CommandService::run(CommandJob Job, const Completion &OnDone) {
   std::shared_ptr<const ServiceView> Service =
       Directory.view()->service(Job.Service);
--- a/src/daemon/CommandService.h
+++ b/src/daemon/CommandService.h
@@ -47,6 +47,8 @@
 
   /// A ticket to offer to a caller; empty while draining.
   std::string issueTicket(TimePoint Now);
+  /// Follows a rotation of the keys.
+  void replaceKeys(std::shared_ptr<const KeyRing> Keys);
   /// Runs a command that a caller sent here.
   void run(CommandJob Job, const Completion &OnDone);
   /// Runs a command that another instance forwarded here.
--- a/src/daemon/CommandWire.cpp
+++ b/src/daemon/CommandWire.cpp
@@ -1,21 +1,11 @@
 #include "daemon/CommandWire.h"
-#include <algorithm>
+#include "core/base/Cbor.h"
 #include <nlohmann/json.hpp>
 
 namespace quetzallead {
 
 using nlohmann::json;
 
-static std::string toBytes(const json &Value) {
-  std::vector<std::uint8_t> Bytes = json::to_cbor(Value);
-  return std::string(Bytes.begin(), Bytes.end());
-}
-
-static json fromBytes(absl::string_view Bytes) {
-  return json::from_cbor(Bytes.begin(), Bytes.end(), /*strict=*/true,
-                         /*allow_exceptions=*/false);
-}
-
 static bool readText(const json &Map, const char *Key, std::string &Out) {
   auto It = Map.find(Key);
   if (It == Map.end() || !It->is_string())
@@ -43,12 +33,12 @@
   Map["session"] = Job.SessionId;
   Map["body"] = Job.Body;
   Map["left_ms"] = absl::ToInt64Milliseconds(Deadline - Now);
-  return toBytes(Map);
+  return cborOf(Map);
 }
 
 std::optional<ForwardedCommand> decodeCommand(absl::string_view Bytes,
                                               TimePoint Now) {
-  json Map = fromBytes(Bytes);
+  json Map = parseCbor(Bytes);
   if (!Map.is_object())
     return std::nullopt;
   ForwardedCommand Out;
@@ -82,11 +72,11 @@
   Map["run"] = nameOf(RunStateNames, Answer.State);
   Map["body"] = Answer.Body;
   Map["ticket"] = Answer.FreshTicket;
-  return toBytes(Map);
+  return cborOf(Map);
 }
 
 std::optional<CommandAnswer> decodeCommandAnswer(absl::string_view Bytes) {
-  json Map = fromBytes(Bytes);
+  json Map = parseCbor(Bytes);
   if (!Map.is_object())
     return std::nullopt;
   CommandAnswer Answer;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -8,6 +8,7 @@
 #include "daemon/DrainGate.h"
 #include "daemon/FleetService.h"
 #include "daemon/HealthProber.h"
+#include "daemon/KeyReloader.h"
 #include "daemon/ListService.h"
 #include "daemon/MetricsPublisher.h"
 #include "daemon/Secrets.h"
@@ -56,13 +57,6 @@
   return (Millis << RandomBits) | Random;
 }
 
-static Result<KeyRing> makeKeyRing(const Secrets &S) {
-  std::vector<SigningKey> Keys;
-  for (const SessionKey &Key : S.SessionKeys)
-    Keys.push_back(SigningKey{Key.Id, Key.Secret, Key.NotBefore});
-  return KeyRing::make(std::move(Keys));
-}
-
 namespace {
 
 class RunningDaemon : public Daemon {
@@ -96,7 +90,12 @@
             }),
         Callers(Options, Directory, environment(), Sessions, Commands, Gate,
                 randomBits()),
-        Admin(adminEnvironment(), OperatorToken) {}
+        Admin(adminEnvironment(), OperatorToken),
+        Reloader(Options.SecretsFile, *Timers,
+                 [this](std::shared_ptr<const KeyRing> Next) {
+                   Commands.replaceKeys(Next);
+                   Sessions.replaceKeys(std::move(Next));
+                 }) {}
 
   ~RunningDaemon() override {
     CallerServer.reset();
@@ -351,6 +350,7 @@
   CommandService Commands;
   CallerFrontend Callers;
   AdminFrontend Admin;
+  KeyReloader Reloader;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> AdminServer;
 };
