Take a peer's introduction as a record of that peer alone

Cause: FleetService handed each peer that it met to Membership::listed(), which takes its argument for the whole instance list, and so forgot the peers that were met before and not yet heard of by gossip. Besides, the record carried no incarnation, so that no ticket could be matched with its issuer.

Now the link's proven identity goes in with its incarnation, and removes nobody.

--- a/src/core/membership/Membership.cpp
+++ b/src/core/membership/Membership.cpp
@@ -246,6 +246,13 @@
   return Out;
 }
 
+MembershipActions Membership::introduced(const MemberRecord &Peer,
+                                         TimePoint Now) {
+  MembershipActions Out;
+  learn(Peer, Out, Now);
+  return Out;
+}
+
 MembershipActions Membership::peerUnreachable(const std::string &Name,
                                               TimePoint Now) {
   MembershipActions Out;
--- a/src/core/membership/Membership.h
+++ b/src/core/membership/Membership.h
@@ -38,7 +38,10 @@
   MembershipActions received(const GossipMessage &Message, TimePoint Now);
   /// A connection to the peer failed or was closed: checks on it at once.
   MembershipActions peerUnreachable(const std::string &Name, TimePoint Now);
-  /// The instance list as it was read last.
+  /// A peer proved on a link that it is the instance and incarnation of
+  /// \p Peer; says nothing about other members.
+  MembershipActions introduced(const MemberRecord &Peer, TimePoint Now);
+  /// The whole instance list as it was read last.
   MembershipActions listed(const std::vector<ListedInstance> &List,
                            TimePoint Now);
 
--- a/src/daemon/FleetService.cpp
+++ b/src/daemon/FleetService.cpp
@@ -283,17 +283,20 @@
 }
 
 void FleetService::onConnected(PeerId Id, const PeerIdentity &Peer) {
-  bool Known = false;
+  MemberRecord Record;
+  Record.Name = Peer.Instance;
+  Record.Address = Peer.Address;
+  Record.Zone = Peer.Zone;
+  Record.Incarnation = Peer.Incarnation;
+  MembershipActions Actions;
   {
     absl::MutexLock Lock(&Mutex);
     LinkOf[Peer.Instance] = Id;
     NameOf[Id] = Peer.Instance;
-    Known = Members.members().find(Peer.Instance) != nullptr;
+    Actions = Members.introduced(Record, Timers.now());
   }
   sendParked(Peer.Instance, Id);
-  // A seed is not on any list yet: what it is called is learned here.
-  if (!Known)
-    listed({ListedInstance{Peer.Instance, Peer.Address, Peer.Zone, false}});
+  perform(std::move(Actions));
 }
 
 void FleetService::onDisconnected(PeerId Id) {
--- a/tests/core/MembershipTest.cpp
+++ b/tests/core/MembershipTest.cpp
@@ -166,6 +166,25 @@
   EXPECT_EQ(World.view(0, 1), MemberState::Alive);
 }
 
+TEST(MembershipListTest, AnIntroductionAddsAMemberAndRemovesNone) {
+  GossipWorld World(1, 1, Seed);
+  Membership &M = World.at(0);
+  M.listed({ListedInstance{"listed", "127.0.0.1:1", "z0", false}}, World.Now);
+  MemberRecord Peer;
+  Peer.Name = "met";
+  Peer.Address = "127.0.0.1:2";
+  Peer.Zone = "z0";
+  Peer.Incarnation = 7;
+  EXPECT_FALSE(M.introduced(Peer, World.Now).empty());
+  ASSERT_NE(M.members().find("met"), nullptr);
+  EXPECT_EQ(M.members().find("met")->Record.Incarnation, 7u);
+  EXPECT_NE(M.members().find("listed"), nullptr);
+  // An older incarnation that is still linked does not put it back.
+  Peer.Incarnation = 6;
+  M.introduced(Peer, World.Now);
+  EXPECT_EQ(M.members().find("met")->Record.Incarnation, 7u);
+}
+
 TEST(MembershipListTest, AnOldProcessLearnsThatItIsReplaced) {
   GossipWorld World(Few, FewZones, Seed);
   World.run(JoinRounds);
