Say "unknown" of a command with a ticket that is refused at the door

A command that had run and was sent again to its issuer while that one drained was refused 503 with run_state not_run: the caller could take a new ticket and have it run twice. The gate refuses before the ledger is asked, so it cannot know whether an earlier copy ran. The same holds for 429 at the gate and for 503 before a sheet is in force.

Weighed: letting such commands through the gate while draining. That would keep a planned stop waiting for new arrivals. The word "unknown" is true, and the same ticket settles it at any other instance.

Before: IssuerStoppedAsPlanned failed, two commands that began once were told not_run. After: it passes.

--- a/src/daemon/CallerFrontend.cpp
+++ b/src/daemon/CallerFrontend.cpp
@@ -50,6 +50,13 @@
   return Value == nullptr ? std::string() : *Value;
 }
 
+/// What is known of a request that is refused before it is looked at. A ticket
+/// may have been spent on an earlier copy of the command, which ran.
+static RunState unseenState(const HttpRequest &Request) {
+  bool MayBeCopy = Request.Headers.find("Idempotency-Key") != nullptr;
+  return MayBeCopy ? RunState::Unknown : RunState::NotRun;
+}
+
 void CallerFrontend::handle(HttpRequest Request,
                             HttpServer::Responder Respond) {
   auto E = std::make_shared<Exchange>();
@@ -62,11 +69,11 @@
   case DrainGate::Entry::Draining:
     return refuse(E, Problem{ProblemType::Draining,
                              "this instance is stopping; ask another one",
-                             RunState::NotRun, DrainingRetryAfter});
+                             unseenState(E->Request), DrainingRetryAfter});
   case DrainGate::Entry::Full:
     return refuse(E, Problem{ProblemType::Overloaded,
                              "too many requests are in progress here",
-                             RunState::NotRun, FullRetryAfter});
+                             unseenState(E->Request), FullRetryAfter});
   case DrainGate::Entry::Admitted:
     break;
   }
@@ -97,7 +104,7 @@
   if (E->View->Revision == 0)
     return refuse(E,
                   Problem{ProblemType::NoSheet, "no sheet is in force here yet",
-                          RunState::NotRun, NoSheetRetryAfter});
+                          unseenState(E->Request), NoSheetRetryAfter});
   E->Target = E->View->service(E->Service);
   if (E->Target == nullptr)
     return refuse(E,
