--- a/src/core/membership/GossipCodec.cpp
+++ b/src/core/membership/GossipCodec.cpp
@@ -19,6 +19,7 @@
 constexpr const char *DigestField = "d";
 constexpr const char *BucketsField = "b";
 constexpr const char *MembersField = "m";
+constexpr const char *SheetsField = "v";
 constexpr const char *ServersField = "s";
 constexpr const char *DeparturesField = "x";
 
@@ -27,6 +28,7 @@
 
 /// Bytes of a record or notice apart from its texts, at most.
 constexpr std::size_t RecordOverheadBytes = 40;
+constexpr std::size_t ReportOverheadBytes = 17;
 constexpr std::size_t NoticeOverheadBytes = 24;
 constexpr std::size_t TextOverheadBytes = 2;
 
@@ -93,6 +95,10 @@
       absl::ToInt64Milliseconds(Expires - Now), 0, MaxRemainingMs));
 }
 
+json rowOf(const SheetReport &R) {
+  return json::array({R.Instance, R.IncarnationTag, R.SheetRevision});
+}
+
 json rowOf(const ServerNotice &N, TimePoint Now) {
   return json::array({N.Server, static_cast<unsigned>(N.State), N.Revision,
                       remainingMs(N.Expires, Now)});
@@ -121,6 +127,18 @@
   return R;
 }
 
+std::optional<SheetReport> sheetReportOf(const json &Row) {
+  RowReader Reader(Row);
+  SheetReport R;
+  R.Instance = Reader.text(MemberRecord::MaxTextBytes);
+  R.IncarnationTag = static_cast<std::uint32_t>(
+      Reader.number(std::numeric_limits<std::uint32_t>::max()));
+  R.SheetRevision = Reader.number();
+  if (!Reader.ended() || R.Instance.empty())
+    return std::nullopt;
+  return R;
+}
+
 TimePoint expiryOf(std::uint64_t RemainingMs, TimePoint Now) {
   return Now + absl::Milliseconds(static_cast<std::int64_t>(RemainingMs));
 }
@@ -197,6 +215,7 @@
   return readRows(Map, BucketsField, M.Buckets, bucketNumberOf) &&
          M.Buckets.size() <= GossipMessage::BucketCount &&
          readRows(Map, MembersField, M.Members, memberOf) &&
+         readRows(Map, SheetsField, M.Sheets, sheetReportOf) &&
          readRows(Map, ServersField, M.Servers, ServerOf) &&
          readRows(Map, DeparturesField, M.Departures, LeaverOf);
 }
@@ -234,6 +253,8 @@
     Map[BucketsField] = M.Buckets;
   for (const MemberRecord &R : M.Members)
     Map[MembersField].push_back(rowOf(R));
+  for (const SheetReport &R : M.Sheets)
+    Map[SheetsField].push_back(rowOf(R));
   for (const ServerNotice &N : M.Servers)
     Map[ServersField].push_back(rowOf(N, Now));
   for (const DepartureNotice &N : M.Departures)
@@ -254,6 +275,10 @@
   return RecordOverheadBytes + R.Name.size() + R.Address.size() + R.Zone.size();
 }
 
+std::size_t encodedBytes(const SheetReport &R) {
+  return ReportOverheadBytes + R.Instance.size();
+}
+
 std::size_t encodedBytes(const ServerNotice &N) {
   return NoticeOverheadBytes + N.Server.size();
 }
--- a/src/core/membership/GossipCodec.h
+++ b/src/core/membership/GossipCodec.h
@@ -22,6 +22,7 @@
 
 /// Encoded size of one item at most, bytes; for filling a message.
 std::size_t encodedBytes(const MemberRecord &Record);
+std::size_t encodedBytes(const SheetReport &Report);
 std::size_t encodedBytes(const ServerNotice &Notice);
 std::size_t encodedBytes(const DepartureNotice &Notice);
 
--- a/src/core/membership/GossipMessage.h
+++ b/src/core/membership/GossipMessage.h
@@ -5,6 +5,7 @@
 #include "core/membership/GossipKind.h"
 #include "core/membership/MemberRecord.h"
 #include "core/membership/ServerNotice.h"
+#include "core/membership/SheetReport.h"
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -26,6 +27,7 @@
   /// SyncRequest: digests of the buckets. Sync: numbers of the buckets sent.
   std::vector<std::uint64_t> Buckets;
   std::vector<MemberRecord> Members;
+  std::vector<SheetReport> Sheets;
   std::vector<ServerNotice> Servers;
   std::vector<DepartureNotice> Departures;
 
--- a/src/core/membership/Membership.cpp
+++ b/src/core/membership/Membership.cpp
@@ -16,6 +16,10 @@
   return {NewsKind::Member, Name, 0};
 }
 
+NewsQueue::Key sheetNews(const std::string &Name) {
+  return {NewsKind::Sheet, Name, 0};
+}
+
 NewsQueue::Key serverNews(const std::string &Name) {
   return {NewsKind::Server, Name, 0};
 }
@@ -25,7 +29,7 @@
 Membership::Membership(MembershipOptions Opts, MemberRecord SelfRecord,
                        std::mt19937_64 RandomEngine, TimePoint Now)
     : Options(Opts), Self(std::move(SelfRecord)), Engine(RandomEngine) {
-  publishSelf(true, Now);
+  publishSelf(Now);
 }
 
 // Events of time
@@ -145,22 +149,23 @@
 
 // Events of this instance
 
-void Membership::publishSelf(bool Urgent, TimePoint Now) {
+void Membership::publishSelf(TimePoint Now) {
   Members.put(Self, Now);
-  News.add(memberNews(Self.Name), Urgent);
+  News.add(memberNews(Self.Name), true);
 }
 
 void Membership::setSheetRevision(std::uint64_t Revision, TimePoint Now) {
   if (Revision <= Self.SheetRevision)
     return;
   Self.SheetRevision = Revision;
-  publishSelf(false, Now);
+  Members.put(Self, Now);
+  News.add(sheetNews(Self.Name), false);
 }
 
 MembershipActions Membership::leave(TimePoint Now) {
   MembershipActions Out;
   Self.Leaving = true;
-  publishSelf(true, Now);
+  publishSelf(Now);
   pushUrgent(Out, Now);
   return Out;
 }
@@ -266,7 +271,7 @@
     return;
   const bool Major = Change == MemberChange::Major;
   LastLearned = Now;
-  News.add(memberNews(Said.Name), Major);
+  News.add(Major ? memberNews(Said.Name) : sheetNews(Said.Name), Major);
   PartnersStale |= Major;
   Out.push_back(MemberChanged{Members.find(Said.Name)->Record});
 }
@@ -285,7 +290,18 @@
   if (!Wrong)
     return;
   Self.Revision = Said.Revision + 1;
-  publishSelf(true, Now);
+  publishSelf(Now);
+}
+
+void Membership::learn(const SheetReport &Report, MembershipActions &Out,
+                       TimePoint Now) {
+  const MemberTable::Entry *E = Members.find(Report.Instance);
+  // Without its record a report says nothing; the record will bring it.
+  if (!E || incarnationTag(E->Record.Incarnation) != Report.IncarnationTag)
+    return;
+  MemberRecord Said = E->Record;
+  Said.SheetRevision = std::max(Said.SheetRevision, Report.SheetRevision);
+  learn(Said, Out, Now);
 }
 
 void Membership::learn(const ServerNotice &Notice, MembershipActions &Out,
@@ -309,6 +325,8 @@
   learn(Message.Sender, Out, Now);
   for (const MemberRecord &Record : Message.Members)
     learn(Record, Out, Now);
+  for (const SheetReport &Report : Message.Sheets)
+    learn(Report, Out, Now);
   for (const ServerNotice &Notice : Message.Servers)
     learn(Notice, Out, Now);
   for (const DepartureNotice &Notice : Message.Departures)
--- a/src/core/membership/Membership.h
+++ b/src/core/membership/Membership.h
@@ -72,6 +72,7 @@
   void learn(const MemberRecord &Said, MembershipActions &Out, TimePoint Now);
   void learnOfSelf(const MemberRecord &Said, MembershipActions &Out,
                    TimePoint Now);
+  void learn(const SheetReport &Report, MembershipActions &Out, TimePoint Now);
   void learn(const ServerNotice &Notice, MembershipActions &Out, TimePoint Now);
   void learn(const DepartureNotice &Notice, TimePoint Now);
   void learnAll(const GossipMessage &Message, MembershipActions &Out,
@@ -88,7 +89,7 @@
   void pingNext(MembershipActions &Out, TimePoint Now);
   void pushUrgent(MembershipActions &Out, TimePoint Now);
   void recontact(MembershipActions &Out);
-  void publishSelf(bool Urgent, TimePoint Now);
+  void publishSelf(TimePoint Now);
 
   void answerPing(const GossipMessage &Ping, MembershipActions &Out);
   void acceptAck(const GossipMessage &Ack, MembershipActions &Out);
--- a/src/core/membership/NewsQueue.cpp
+++ b/src/core/membership/NewsQueue.cpp
@@ -11,6 +11,10 @@
 /// The most pieces of news that one message can hold.
 constexpr std::size_t MaxItemsPerMessage = 64;
 
+SheetReport sheetReportOf(const MemberRecord &R) {
+  return {R.Name, incarnationTag(R.Incarnation), R.SheetRevision};
+}
+
 /// Adds \p News to \p To if it is there and fits into \p Room; false if it does
 /// not fit.
 template <typename T>
@@ -59,6 +63,13 @@
       const MemberTable::Entry *E = Members.find(Name);
       Found = E != nullptr;
       Placed = Found && place(&E->Record, Message.Members, Room);
+    } else if (Kind == NewsKind::Sheet) {
+      const MemberTable::Entry *E = Members.find(Name);
+      Found = E != nullptr;
+      if (Found) {
+        const SheetReport Report = sheetReportOf(E->Record);
+        Placed = place(&Report, Message.Sheets, Room);
+      }
     } else if (Kind == NewsKind::Server) {
       const ServerNotice *N = Notices.server(Name);
       Found = N != nullptr;
@@ -88,7 +99,9 @@
     I.Urgent = false;
     --UrgentCount;
   }
-  if (I.Sends >= MaxSends)
+  // A revision that does not arrive is found by the digests soon enough.
+  const bool IsSheet = std::get<NewsKind>(K) == NewsKind::Sheet;
+  if (I.Sends >= (IsSheet ? MaxSends / 2 : MaxSends))
     drop(K);
 }
 
--- a/src/core/membership/NewsQueue.h
+++ b/src/core/membership/NewsQueue.h
@@ -15,7 +15,7 @@
 struct GossipMessage;
 
 /// Which store a piece of news is in.
-enum class NewsKind { Member, Server, Departure };
+enum class NewsKind { Member, Sheet, Server, Departure };
 
 /// What has changed lately and is still to be passed on. Holds names only; a
 /// message is filled with the newest state of what they name.
@@ -34,7 +34,7 @@
   std::size_t size() const { return Items.size(); }
 
   /// Adds to \p Message up to \p MaxBytes of news, urgent and least sent first.
-  /// Drops what was sent \p MaxSends times.
+  /// Drops what was sent \p MaxSends times, sheet revisions after half of that.
   void fill(GossipMessage &Message, const MemberTable &Members,
             const NoticeBoard &Notices, std::size_t MaxBytes, int MaxSends);
 
--- a/tests/core/GossipCodecTest.cpp
+++ b/tests/core/GossipCodecTest.cpp
@@ -20,6 +20,7 @@
   M.Digest = ~std::uint64_t{0};
   M.Buckets = {1, 31};
   M.Members = {M.Sender, {"i2", "a", "z", 1, 0, MemberState::Dead, false, 0}};
+  M.Sheets = {{"i2", 0xffffffff, 18}};
   M.Servers = {{"s1", ServerNoticeState::Leaving, 8, Now + absl::Seconds(30)}};
   M.Departures = {{"i3", 4, {"i4", "i5"}, Now + absl::Minutes(15)}};
   return M;
@@ -41,6 +42,9 @@
   EXPECT_EQ(Back->Digest, M.Digest);
   EXPECT_EQ(Back->Buckets, M.Buckets);
   EXPECT_EQ(Back->Members, M.Members);
+  ASSERT_EQ(Back->Sheets.size(), 1u);
+  EXPECT_EQ(Back->Sheets[0].IncarnationTag, 0xffffffffu);
+  EXPECT_EQ(Back->Sheets[0].SheetRevision, 18u);
   ASSERT_EQ(Back->Servers.size(), 1u);
   EXPECT_EQ(Back->Servers[0].State, ServerNoticeState::Leaving);
   EXPECT_EQ(Back->Servers[0].Expires, Now + absl::Seconds(30));
@@ -71,13 +75,15 @@
   const GossipMessage M = exampleMessage();
   GossipMessage Empty = M;
   Empty.Members.clear();
+  Empty.Sheets.clear();
   Empty.Servers.clear();
   Empty.Departures.clear();
-  // Three field names and array heads come on top.
-  const std::size_t Heads = 9;
+  // Four field names and array heads come on top.
+  const std::size_t Heads = 12;
   const std::size_t Items =
       encodedBytes(M.Members[0]) + encodedBytes(M.Members[1]) +
-      encodedBytes(M.Servers[0]) + encodedBytes(M.Departures[0]);
+      encodedBytes(M.Sheets[0]) + encodedBytes(M.Servers[0]) +
+      encodedBytes(M.Departures[0]);
   EXPECT_LE(encodeGossip(M, Now).size(),
             encodeGossip(Empty, Now).size() + Items + Heads);
 }
