--- a/src/transport/http/CurlWorker.cpp
+++ b/src/transport/http/CurlWorker.cpp
@@ -240,11 +240,12 @@
 int CurlWorker::onTimer(void *, long TimeoutMs, void *Cls) {
   auto *Self = static_cast<CurlWorker *>(Cls);
   Self->TimerDue = TimeoutMs == 0;
+  // An earlier setting that is left armed only causes a call too many.
+  if (TimeoutMs <= 0)
+    return 0;
   itimerspec Spec = {};
-  if (TimeoutMs > 0) {
-    Spec.it_value.tv_sec = TimeoutMs / MsPerSecond;
-    Spec.it_value.tv_nsec = TimeoutMs % MsPerSecond * NsPerMs;
-  }
+  Spec.it_value.tv_sec = TimeoutMs / MsPerSecond;
+  Spec.it_value.tv_nsec = TimeoutMs % MsPerSecond * NsPerMs;
   timerfd_settime(Self->TimerDescriptor, 0, &Spec, nullptr);
   return 0;
 }
