--- a/src/daemon/Secrets.cpp
+++ b/src/daemon/Secrets.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "core/base/JsonReader.h"
 #include "core/base/JsonText.h"
+#include "core/session/SigningKey.h"
 #include "runtime/FileText.h"
 #include <nlohmann/json.hpp>
 #include <sys/stat.h>
@@ -12,21 +13,22 @@
 using nlohmann::json;
 
 static constexpr std::size_t MaxSecretsBytes = std::size_t{64} * 1024;
-static constexpr std::size_t LeastKeyBytes = 16;
+static constexpr std::size_t LeastPeerKeyBytes = 16;
 static constexpr std::size_t MaxEncodedBytes = 1024;
 static constexpr std::size_t LeastTokenBytes = 16;
 static constexpr std::size_t MaxKeys = 16;
 
 static std::string decodeKey(JsonReader &Reader, absl::string_view Key,
-                             const std::string &Encoded) {
+                             const std::string &Encoded,
+                             std::size_t LeastBytes) {
   std::string Raw;
   if (!absl::Base64Unescape(Encoded, &Raw)) {
     Reader.refuse(Key, "must be base64");
     return std::string();
   }
-  if (Raw.size() < LeastKeyBytes)
-    Reader.refuse(
-        Key, absl::StrCat("must encode at least ", LeastKeyBytes, " bytes"));
+  if (Raw.size() < LeastBytes)
+    Reader.refuse(Key,
+                  absl::StrCat("must encode at least ", LeastBytes, " bytes"));
   return Raw;
 }
 
@@ -35,14 +37,14 @@
   std::vector<std::string> Encoded =
       Reader.texts("peer_keys", MaxKeys, MaxEncodedBytes);
   for (std::size_t I = 0; I < Encoded.size(); ++I)
-    Keys.push_back(
-        decodeKey(Reader, absl::StrCat("peer_keys[", I, "]"), Encoded[I]));
+    Keys.push_back(decodeKey(Reader, absl::StrCat("peer_keys[", I, "]"),
+                             Encoded[I], LeastPeerKeyBytes));
   std::string Single =
       Reader.text("peer_key", 0, MaxEncodedBytes, std::string());
   if (!Single.empty() && !Keys.empty())
     Reader.refuse("peer_key", "must not stand beside peer_keys");
   if (!Single.empty())
-    Keys.push_back(decodeKey(Reader, "peer_key", Single));
+    Keys.push_back(decodeKey(Reader, "peer_key", Single, LeastPeerKeyBytes));
   if (Keys.empty())
     Reader.refuse("peer_key", "is missing");
   return Keys;
@@ -52,7 +54,8 @@
   SessionKey Key;
   Key.Id = Reader.name("id");
   Key.Secret =
-      decodeKey(Reader, "secret", Reader.text("secret", 1, MaxEncodedBytes));
+      decodeKey(Reader, "secret", Reader.text("secret", 1, MaxEncodedBytes),
+                SigningKey::MinSecretBytes);
   constexpr std::size_t MaxTimeBytes = 64;
   std::string Time = Reader.text("not_before", 0, MaxTimeBytes, std::string());
   std::string ParseFailure;
--- /dev/null
+++ b/tests/core/SheetDeltaTest.cpp
@@ -0,0 +1,60 @@
+#include "quetzallead/SheetDelta.h"
+#include "ArbitrarySheet.h"
+#include "core/config/SheetHistory.h"
+#include "quetzallead/SheetDocument.h"
+#include "quetzallead/SheetDocumentCodec.h"
+#include "quetzallead/Submission.h"
+#include <cctype>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace quetzallead;
+
+static const TimePoint Start = absl::FromUnixSeconds(1000);
+
+static SheetDocument after(const SheetDocument &Base, const std::string &Id,
+                           TimePoint Now = Start) {
+  Submission What;
+  What.Id = Id;
+  What.Author = "ana";
+  What.Reason = "r";
+  What.Content = *arbitrarySheet();
+  return nextDocument(Base, What, 0, Now);
+}
+
+RC_GTEST_PROP(SheetDeltaTest, DeltaGivesTheDocument, ()) {
+  SheetDocument Held = after(SheetDocument(), "a");
+  SheetDocument Next = after(Held, "b");
+  SheetDelta Delta = makeDelta(&Held, Next);
+  auto Outcome = capture([&] { return applyDelta(&Held, Delta); });
+  RC_ASSERT(std::holds_alternative<SheetDocument>(Outcome));
+  RC_ASSERT(formatDocument(std::get<SheetDocument>(Outcome)) ==
+            formatDocument(Next));
+  auto Whole = capture([&] {
+    SheetDelta All = makeDelta(nullptr, Next);
+    return applyDelta(nullptr, All);
+  });
+  RC_ASSERT(std::holds_alternative<SheetDocument>(Whole));
+}
+
+RC_GTEST_PROP(SheetDeltaTest, AlteredDeltasAreRefused, ()) {
+  SheetDocument Held = after(SheetDocument(), "a");
+  SheetDelta Delta = makeDelta(&Held, after(Held, "b"));
+  auto At = *rc::gen::inRange<std::size_t>(0, Delta.Body.size());
+  char Changed = *rc::gen::arbitrary<char>();
+  RC_PRE(Changed != Delta.Body[At] && !isspace(Delta.Body[At]));
+  Delta.Body[At] = Changed;
+  auto Outcome = capture([&] { return applyDelta(&Held, Delta); });
+  RC_ASSERT(std::holds_alternative<Error>(Outcome));
+}
+
+TEST(SheetDeltaTest, PatchMayNotCopy) {
+  SheetDocument Held;
+  Held.Revision = 1;
+  SheetDelta Delta;
+  Delta.FromRevision = 1;
+  Delta.Body = R"([{"op": "copy", "from": "/audit", "path": "/audit/0"}])";
+  auto Outcome = capture([&] { return applyDelta(&Held, Delta); });
+  ASSERT_TRUE(std::holds_alternative<Error>(Outcome));
+  EXPECT_EQ(std::get<Error>(Outcome).Code, ErrorCode::InvalidArgument);
+}
--- a/tests/core/SheetHistoryTest.cpp
+++ b/tests/core/SheetHistoryTest.cpp
@@ -1,6 +1,5 @@
 #include "core/config/SheetHistory.h"
 #include "ArbitrarySheet.h"
-#include "quetzallead/SheetDelta.h"
 #include "quetzallead/SheetDocument.h"
 #include "quetzallead/SheetDocumentCodec.h"
 #include "quetzallead/Submission.h"
@@ -54,49 +53,3 @@
   RC_ASSERT(entriesMissingFrom(Joined, Loser).empty());
   RC_ASSERT(entriesMissingFrom(Joined, Winner).empty());
 }
-
-RC_GTEST_PROP(SheetDeltaTest, DeltaGivesTheDocument, ()) {
-  SheetDocument Held = after(SheetDocument(), "a");
-  SheetDocument Next = after(Held, "b");
-  SheetDelta Delta = makeDelta(&Held, Next);
-  auto Outcome = capture([&] { return applyDelta(&Held, Delta); });
-  RC_ASSERT(std::holds_alternative<SheetDocument>(Outcome));
-  RC_ASSERT(formatDocument(std::get<SheetDocument>(Outcome)) ==
-            formatDocument(Next));
-  auto Whole = capture([&] {
-    SheetDelta All = makeDelta(nullptr, Next);
-    return applyDelta(nullptr, All);
-  });
-  RC_ASSERT(std::holds_alternative<SheetDocument>(Whole));
-}
-
-RC_GTEST_PROP(SheetDeltaTest, AlteredDeltasAreRefused, ()) {
-  SheetDocument Held = after(SheetDocument(), "a");
-  SheetDelta Delta = makeDelta(&Held, after(Held, "b"));
-  auto At = *rc::gen::inRange<std::size_t>(0, Delta.Body.size());
-  char Changed = *rc::gen::arbitrary<char>();
-  RC_PRE(Changed != Delta.Body[At] && !isspace(Delta.Body[At]));
-  Delta.Body[At] = Changed;
-  auto Outcome = capture([&] { return applyDelta(&Held, Delta); });
-  RC_ASSERT(std::holds_alternative<Error>(Outcome));
-}
-
-TEST(SheetDeltaTest, PatchMayNotCopy) {
-  SheetDocument Held;
-  Held.Revision = 1;
-  SheetDelta Delta;
-  Delta.FromRevision = 1;
-  Delta.Body = R"([{"op": "copy", "from": "/audit", "path": "/audit/0"}])";
-  auto Outcome = capture([&] { return applyDelta(&Held, Delta); });
-  ASSERT_TRUE(std::holds_alternative<Error>(Outcome));
-  EXPECT_EQ(std::get<Error>(Outcome).Code, ErrorCode::InvalidArgument);
-}
-
-TEST(SubmissionTest, ErrorsNameTheFieldOfTheSheet) {
-  auto Outcome = capture([] {
-    return parseSubmission(R"({"submission_id": "x", "base_revision": 0,
-      "author": "ana", "reason": "r", "sheet": "{\"format\": 1}"})");
-  });
-  ASSERT_TRUE(std::holds_alternative<Error>(Outcome));
-  EXPECT_EQ(std::get<Error>(Outcome).Where, "sheet.deployment");
-}
--- a/tests/daemon/SecretsTest.cpp
+++ b/tests/daemon/SecretsTest.cpp
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -11,8 +12,8 @@
   "peer_key": "MDEyMzQ1Njc4OWFiY2RlZg==",
   "operator_token": "0123456789abcdef",
   "session_keys": [
-    {"id": "k1", "secret": "MDEyMzQ1Njc4OWFiY2RlZg=="},
-    {"id": "k2", "secret": "MDEyMzQ1Njc4OWFiY2RlZg==",
+    {"id": "k1", "secret": "MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="},
+    {"id": "k2", "secret": "MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=",
      "not_before": "2026-12-01T00:00:00Z"}]
 })";
 
@@ -46,6 +47,23 @@
             std::string::npos);
 }
 
+TEST(SecretsTest, ShortSessionKeyIsRefusedByItsField) {
+  std::string Text = Good;
+  std::string Key = "MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=";
+  Text.replace(Text.find(Key), Key.size(), "MDEyMzQ1Njc4OWFiY2RlZg==");
+  EXPECT_EQ(refusal(Text).Where, "session_keys[0].secret");
+}
+
+TEST(SecretsTest, ExamplesAreAccepted) {
+  for (const char *Deployment : {"escaparates", "rahbar"}) {
+    std::ifstream In(std::string(QUETZALLEAD_SOURCE_DIR "/examples/") +
+                     Deployment + "/secrets.json");
+    std::ostringstream Text;
+    Text << In.rdbuf();
+    EXPECT_EQ(refusal(Text.str()).Message, "accepted");
+  }
+}
+
 TEST(SecretsTest, FileOpenToOthersIsRefused) {
   std::string Path = testing::TempDir() + "secrets-XXXXXX";
   int File = mkstemp(Path.data());
--- a/tests/support/TestFleet.cpp
+++ b/tests/support/TestFleet.cpp
@@ -19,7 +19,8 @@
 static std::string secretsText() {
   const json Keys = json::array(
       {{{"id", "k1"},
-        {"secret", absl::Base64Escape("session-key-of-the-tests-0001")}}});
+        {"secret",
+         absl::Base64Escape("session-signing-key-of-the-tests-0001")}}});
   return json{{"peer_key", absl::Base64Escape("peer-key-of-the-tests-000001")},
               {"operator_token", OperatorToken},
               {"session_keys", Keys}}
