--- a/src/core/membership/Membership.h
+++ b/src/core/membership/Membership.h
@@ -38,7 +38,10 @@
   MembershipActions received(const GossipMessage &Message, TimePoint Now);
   /// A connection to the peer failed or was closed: checks on it at once.
   MembershipActions peerUnreachable(const std::string &Name, TimePoint Now);
-  /// The instance list as it was read last.
+  /// A peer proved on a link that it is the instance and incarnation of
+  /// \p Peer; says nothing about other members.
+  MembershipActions introduced(const MemberRecord &Peer, TimePoint Now);
+  /// The whole instance list as it was read last.
   MembershipActions listed(const std::vector<ListedInstance> &List,
                            TimePoint Now);
 
@@ -72,6 +75,7 @@
   void learn(const MemberRecord &Said, MembershipActions &Out, TimePoint Now);
   void learnOfSelf(const MemberRecord &Said, MembershipActions &Out,
                    TimePoint Now);
+  void learn(const SheetReport &Report, MembershipActions &Out, TimePoint Now);
   void learn(const ServerNotice &Notice, MembershipActions &Out, TimePoint Now);
   void learn(const DepartureNotice &Notice, TimePoint Now);
   void learnAll(const GossipMessage &Message, MembershipActions &Out,
@@ -88,7 +92,7 @@
   void pingNext(MembershipActions &Out, TimePoint Now);
   void pushUrgent(MembershipActions &Out, TimePoint Now);
   void recontact(MembershipActions &Out);
-  void publishSelf(bool Urgent, TimePoint Now);
+  void publishSelf(TimePoint Now);
 
   void answerPing(const GossipMessage &Ping, MembershipActions &Out);
   void acceptAck(const GossipMessage &Ack, MembershipActions &Out);
