--- a/src/transport/http/HttpServer.cpp
+++ b/src/transport/http/HttpServer.cpp
@@ -2,6 +2,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
+#include "transport/net/AcceptLoop.h"
 #include "transport/net/ListenSocket.h"
 #include <algorithm>
 #include <atomic>
@@ -11,7 +12,6 @@
 #include <microhttpd.h>
 #include <mutex>
 #include <optional>
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace quetzallead {
@@ -129,7 +129,7 @@
   int port() const override { return Port; }
   int inFlight() const override { return InFlight.load(); }
   void closeAfterAnswers() override { CloseConnections = true; }
-  void stopAccepting() override;
+  void stopAccepting() override { Acceptor->stop(); }
 
 private:
   static void *onTarget(void *Cls, const char *Target, MHD_Connection *);
@@ -153,7 +153,7 @@
   const HttpServerOptions Options;
   const Handler OnRequest;
   MHD_Daemon *Daemon = nullptr;
-  int ListenDescriptor = -1;
+  std::unique_ptr<AcceptLoop> Acceptor;
   int Port = 0;
   std::atomic<int> InFlight{0};
   std::atomic<bool> CloseConnections{false};
@@ -163,14 +163,11 @@
   /// Whole requests whose answers have not wholly left.
   absl::flat_hash_set<ExchangePtr> Open;
   bool Stopping = false;
-  bool Accepting = true;
 };
 
 bool MhdHttpServer::serve(int Descriptor) {
-  ListenDescriptor = Descriptor;
   Port = boundPort(Descriptor);
   std::vector<MHD_OptionItem> Items = {
-      {MHD_OPTION_LISTEN_SOCKET, Descriptor, nullptr},
       {MHD_OPTION_CONNECTION_LIMIT,
        static_cast<intptr_t>(Options.MaxConnections), nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT,
@@ -183,19 +180,28 @@
                      static_cast<intptr_t>(Options.Threads), nullptr});
   Items.push_back({MHD_OPTION_END, 0, nullptr});
   Daemon = MHD_start_daemon(
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr,
-      nullptr, &onAccess, this, MHD_OPTION_ARRAY, Items.data(),
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+          MHD_USE_NO_LISTEN_SOCKET,
+      0, nullptr, nullptr, &onAccess, this, MHD_OPTION_ARRAY, Items.data(),
       MHD_OPTION_URI_LOG_CALLBACK, &onTarget, this, MHD_OPTION_NOTIFY_COMPLETED,
       &onCompleted, this, MHD_OPTION_END);
-  return Daemon != nullptr;
+  if (Daemon == nullptr) {
+    close(Descriptor);
+    return false;
+  }
+  // The library's own way to stop accepting, MHD_quiesce_daemon, races with its
+  // threads over the epoll set and may abort the process.
+  Acceptor = std::make_unique<AcceptLoop>(
+      Descriptor, [this](int Socket, const sockaddr *Peer, socklen_t Length) {
+        // Closes the socket if there are too many connections.
+        MHD_add_connection(Daemon, Socket, Peer, Length);
+      });
+  return true;
 }
 
 MhdHttpServer::~MhdHttpServer() {
-  if (Daemon == nullptr) {
-    if (ListenDescriptor >= 0)
-      close(ListenDescriptor);
+  if (Daemon == nullptr)
     return;
-  }
   stopAccepting();
   closeAfterAnswers();
   {
@@ -208,7 +214,6 @@
     AllDone.wait_for(Guard, StopLimit, [this] { return Open.empty(); });
   }
   MHD_stop_daemon(Daemon);
-  close(ListenDescriptor);
 }
 
 void MhdHttpServer::answerAll(const HttpResponse &Response) {
@@ -221,16 +226,6 @@
     answer(*E, Response);
 }
 
-void MhdHttpServer::stopAccepting() {
-  std::lock_guard<std::mutex> Guard(Lock);
-  if (!Accepting)
-    return;
-  Accepting = false;
-  MHD_quiesce_daemon(Daemon);
-  // Ends the kernel's queue as well; the descriptor is closed at the end.
-  shutdown(ListenDescriptor, SHUT_RD);
-}
-
 void *MhdHttpServer::onTarget(void *, const char *Target, MHD_Connection *) {
   auto *Slot = new ExchangePtr(std::make_shared<Exchange>());
   // An encoded NUL would cut the decoded path short.
