--- a/src/daemon/AdminFrontend.cpp
+++ b/src/daemon/AdminFrontend.cpp
@@ -52,7 +52,8 @@
   return CRYPTO_memcmp(Given.data(), OperatorToken.data(), Given.size()) == 0;
 }
 
-void AdminFrontend::handle(HttpRequest Request, HttpServer::Responder Respond) {
+void AdminFrontend::handle(const HttpRequest &Request,
+                           const HttpServer::Responder &Respond) {
   const std::string &Path = Request.Path;
   if (Path == "/healthz")
     return Respond(jsonResponse({{"status", "ok"}}));
@@ -77,7 +78,7 @@
   if (Call == "GET /v1/audit")
     return Respond(Env.Sheets.audit());
   if (Call == "POST /v1/sheet")
-    return Env.Sheets.submit(Request.Body, std::move(Respond));
+    return Env.Sheets.submit(Request.Body, Respond);
   if (Call == "POST /v1/drain") {
     Respond(jsonResponse({{"status", "draining"}}, StatusAccepted));
     return Env.RequestStop();
--- a/src/daemon/AdminFrontend.h
+++ b/src/daemon/AdminFrontend.h
@@ -34,7 +34,7 @@
 public:
   AdminFrontend(AdminEnvironment Env, std::string OperatorToken);
 
-  void handle(HttpRequest Request, HttpServer::Responder Respond);
+  void handle(const HttpRequest &Request, const HttpServer::Responder &Respond);
 
 private:
   bool authorized(const HttpRequest &Request) const;
--- a/src/daemon/CallerFrontend.cpp
+++ b/src/daemon/CallerFrontend.cpp
@@ -1,6 +1,7 @@
 #include "daemon/CallerFrontend.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "core/base/JsonText.h"
 #include "daemon/AnswerCodec.h"
 #include "daemon/CallerRequest.h"
 #include "daemon/ClusterDirectory.h"
@@ -9,6 +10,7 @@
 #include "daemon/Problem.h"
 #include "daemon/QueryPlanner.h"
 #include "daemon/SessionService.h"
+#include "runtime/Metrics.h"
 #include "runtime/TimerService.h"
 #include <nlohmann/json.hpp>
 
@@ -30,15 +32,19 @@
   std::shared_ptr<const ClusterView> View;
   std::shared_ptr<const ServiceView> Target;
   bool Admitted = false;
+  /// Shards wanted and covered; 0 for anything but a query.
+  std::size_t Wanted = 0;
+  std::size_t Covered = 0;
 };
 
 CallerFrontend::CallerFrontend(const Settings &S, ClusterDirectory &Dir,
                                QueryEnvironment Environment,
                                SessionService &SessionParts,
                                CommandService &CommandParts,
-                               DrainGate &DrainPart, std::uint64_t Incarnation)
-    : Options(S), Directory(Dir), Env(Environment), Sessions(SessionParts),
-      Commands(CommandParts), Gate(DrainPart), Ids(Incarnation) {}
+                               DrainGate &DrainPart, std::uint64_t RandomId)
+    : Options(S), Directory(Dir), Env(std::move(Environment)),
+      Sessions(SessionParts), Commands(CommandParts), Gate(DrainPart),
+      Ids(RandomId) {}
 
 static Problem badRequest(const Error &E) {
   return Problem{ProblemType::BadRequest, E.text()};
@@ -49,6 +55,13 @@
   return Value == nullptr ? std::string() : *Value;
 }
 
+/// What is known of a request that is refused before it is looked at. A ticket
+/// may have been spent on an earlier copy of the command, which ran.
+static RunState unseenState(const HttpRequest &Request) {
+  bool MayBeCopy = Request.Headers.find("Idempotency-Key") != nullptr;
+  return MayBeCopy ? RunState::Unknown : RunState::NotRun;
+}
+
 void CallerFrontend::handle(HttpRequest Request,
                             HttpServer::Responder Respond) {
   auto E = std::make_shared<Exchange>();
@@ -61,11 +74,11 @@
   case DrainGate::Entry::Draining:
     return refuse(E, Problem{ProblemType::Draining,
                              "this instance is stopping; ask another one",
-                             RunState::NotRun, DrainingRetryAfter});
+                             unseenState(E->Request), DrainingRetryAfter});
   case DrainGate::Entry::Full:
     return refuse(E, Problem{ProblemType::Overloaded,
                              "too many requests are in progress here",
-                             RunState::NotRun, FullRetryAfter});
+                             unseenState(E->Request), FullRetryAfter});
   case DrainGate::Entry::Admitted:
     break;
   }
@@ -96,7 +109,7 @@
   if (E->View->Revision == 0)
     return refuse(E,
                   Problem{ProblemType::NoSheet, "no sheet is in force here yet",
-                          RunState::NotRun, NoSheetRetryAfter});
+                          unseenState(E->Request), NoSheetRetryAfter});
   E->Target = E->View->service(E->Service);
   if (E->Target == nullptr)
     return refuse(E,
@@ -133,7 +146,9 @@
 void CallerFrontend::openSession(const ExchangePtr &E) {
   std::string Caller;
   if (!E->Request.Body.empty()) {
-    auto Body = nlohmann::json::parse(E->Request.Body, nullptr, false);
+    nlohmann::json Body;
+    if (nestsWithin(E->Request.Body, 1))
+      Body = nlohmann::json::parse(E->Request.Body, nullptr, false);
     bool Named = Body.is_object() && Body.contains("caller") &&
                  Body["caller"].is_string();
     if (!Body.is_object() || (!Body.empty() && !Named))
@@ -205,6 +220,8 @@
   QuerySession::start(Env, std::move(Job), [=](const QueryOutcome &Outcome) {
     HttpResponse Response =
         answerResponse(E->Context.RequestId, E->Service, Kind, Outcome);
+    E->Wanted = Outcome.Result.Wanted;
+    E->Covered = Outcome.Result.Covered;
     std::uint64_t Version =
         Outcome.Result.Covered > 0 ? Outcome.Result.Taken.Version : 0;
     finish(E, std::move(Response), Version);
@@ -231,6 +248,32 @@
   finish(E, problemResponse(P, E->Context.RequestId), 0);
 }
 
+static RequestOutcome outcomeOfStatus(int Status, bool Complete) {
+  if (Status < 300)
+    return Complete ? RequestOutcome::Complete : RequestOutcome::Partial;
+  if (Status == statusOf(ProblemType::Overloaded) ||
+      Status == statusOf(ProblemType::Draining))
+    return RequestOutcome::Refused;
+  if (Status == statusOf(ProblemType::Deadline))
+    return RequestOutcome::Deadline;
+  if (Status == statusOf(ProblemType::RunUnknown))
+    return RequestOutcome::Unknown;
+  return Status < 500 ? RequestOutcome::Invalid : RequestOutcome::Failed;
+}
+
+void CallerFrontend::count(const Exchange &E, int Status) {
+  RequestSample Sample;
+  Sample.Service = E.Service;
+  Sample.Urgency = E.Context.Urgency;
+  Sample.Outcome = outcomeOfStatus(Status, E.Covered == E.Wanted);
+  Sample.Elapsed = Env.Timers.now() - E.Context.Received;
+  Sample.WantedShards = static_cast<int>(E.Wanted);
+  Sample.CoveredShards = static_cast<int>(E.Covered);
+  Env.Meter.requestEnded(Sample);
+  if (Status == statusOf(ProblemType::Overloaded))
+    Env.Meter.requestShed(E.Service, E.Context.Urgency);
+}
+
 void CallerFrontend::finish(const ExchangePtr &E, HttpResponse Response,
                             std::uint64_t Version) {
   if (Response.Headers.find("X-Request-Id") == nullptr)
@@ -239,6 +282,7 @@
     Response.Headers.add(
         "Quetzallead-Session",
         Sessions.renew(*E->Session, E->Service, Version, Env.Timers.now()));
+  count(*E, Response.Status);
   E->Respond(std::move(Response));
   if (E->Admitted)
     Gate.leave();
--- a/src/daemon/CallerFrontend.h
+++ b/src/daemon/CallerFrontend.h
@@ -29,7 +29,7 @@
   CallerFrontend(const Settings &S, ClusterDirectory &Directory,
                  QueryEnvironment Env, SessionService &Sessions,
                  CommandService &Commands, DrainGate &Gate,
-                 std::uint64_t Incarnation);
+                 std::uint64_t RandomId);
 
   void handle(HttpRequest Request, HttpServer::Responder Respond);
 
@@ -46,6 +46,7 @@
   void command(const ExchangePtr &E);
   void runQuery(const ExchangePtr &E, QueryJob Job);
   bool resumeSession(const ExchangePtr &E);
+  void count(const Exchange &E, int Status);
   void refuse(const ExchangePtr &E, const Problem &P);
   void finish(const ExchangePtr &E, HttpResponse Response,
               std::uint64_t Version);
--- a/src/daemon/CommandService.cpp
+++ b/src/daemon/CommandService.cpp
@@ -6,6 +6,8 @@
 #include "daemon/CommandResponse.h"
 #include "daemon/CommandWire.h"
 #include "daemon/DecisionRing.h"
+#include "daemon/ServerEvents.h"
+#include "runtime/Metrics.h"
 #include "transport/http/HttpClient.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -47,7 +49,8 @@
                                std::shared_ptr<const KeyRing> Keys,
                                CommandLedger::StandingOf Standing,
                                Forwarder ForwardTo)
-    : Directory(Dir), Env(Environment), Forward(std::move(ForwardTo)),
+    : Directory(Dir), Env(std::move(Environment)),
+      Forward(std::move(ForwardTo)),
       Ledger(std::move(Instance), Incarnation, std::move(Keys),
              std::move(Standing)) {
   Ticker = Env.Timers.every(TickPeriod, [this](TimePoint Now) {
@@ -61,7 +64,12 @@
   return Ledger.issueTicket(Now);
 }
 
-void CommandService::run(CommandJob Job, Completion OnDone) {
+void CommandService::replaceKeys(std::shared_ptr<const KeyRing> Keys) {
+  absl::MutexLock Lock(&Mutex);
+  Ledger.replaceKeys(std::move(Keys));
+}
+
+void CommandService::run(CommandJob Job, const Completion &OnDone) {
   std::shared_ptr<const ServiceView> Service =
       Directory.view()->service(Job.Service);
   Duration Limit = absl::ZeroDuration();
@@ -215,6 +223,7 @@
     R.Sent = Now;
     R.Cause =
         A->Action.Attempt == 1 ? AttemptCause::First : AttemptCause::Retry;
+    Env.Meter.attemptStarted(P.Job.Service, R.Cause);
     P.Record.Attempts.push_back(std::move(R));
     Call = makeCall(P, *A, Server, Now);
   }
@@ -271,6 +280,7 @@
   Report.Elapsed = Outcome.Elapsed;
   Report.Load = Reply.Load;
   std::vector<PermitGrant> Grants = A->Set->release(A->Replica, Report, Now);
+  reportServerEvent(Env, *A->Set, A->Replica, Reply.Result);
   for (const PermitGrant &Grant : Grants)
     Grant.deliver(Now);
   std::string Body;
--- a/src/transport/http/HttpServer.cpp
+++ b/src/transport/http/HttpServer.cpp
@@ -12,6 +12,7 @@
 #include <microhttpd.h>
 #include <mutex>
 #include <optional>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace quetzallead {
@@ -129,7 +130,7 @@
   int port() const override { return Port; }
   int inFlight() const override { return InFlight.load(); }
   void closeAfterAnswers() override { CloseConnections = true; }
-  void stopAccepting() override { Acceptor->stop(); }
+  void stopAccepting() override;
 
 private:
   static void *onTarget(void *Cls, const char *Target, MHD_Connection *);
@@ -153,7 +154,7 @@
   const HttpServerOptions Options;
   const Handler OnRequest;
   MHD_Daemon *Daemon = nullptr;
-  std::unique_ptr<AcceptLoop> Acceptor;
+  std::unique_ptr<AcceptLoop> Listener;
   int Port = 0;
   std::atomic<int> InFlight{0};
   std::atomic<bool> CloseConnections{false};
@@ -189,12 +190,12 @@
     close(Descriptor);
     return false;
   }
-  // The library's own way to stop accepting, MHD_quiesce_daemon, races with its
-  // threads over the epoll set and may abort the process.
-  Acceptor = std::make_unique<AcceptLoop>(
-      Descriptor, [this](int Socket, const sockaddr *Peer, socklen_t Length) {
-        // Closes the socket if there are too many connections.
-        MHD_add_connection(Daemon, Socket, Peer, Length);
+  // The library's own listening is not used: ending it from another thread
+  // races with the library's threads and can abort the process.
+  Listener = std::make_unique<AcceptLoop>(
+      Descriptor,
+      [this](int Accepted, const sockaddr *Address, socklen_t Size) {
+        MHD_add_connection(Daemon, Accepted, Address, Size);
       });
   return true;
 }
@@ -226,6 +227,8 @@
     answer(*E, Response);
 }
 
+void MhdHttpServer::stopAccepting() { Listener->stop(); }
+
 void *MhdHttpServer::onTarget(void *, const char *Target, MHD_Connection *) {
   auto *Slot = new ExchangePtr(std::make_shared<Exchange>());
   // An encoded NUL would cut the decoded path short.
--- a/src/transport/net/AcceptLoop.cpp
+++ b/src/transport/net/AcceptLoop.cpp
@@ -1,66 +1,64 @@
 #include "transport/net/AcceptLoop.h"
 #include <cerrno>
+#include <cstdint>
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <utility>
 
 namespace quetzallead {
-namespace {
 
-/// Pause after a failure that may last, such as too many open files.
-constexpr int RetryPauseMs = 10;
+/// Pause after a failure such as too many open files, milliseconds.
+static constexpr int FailurePauseMillis = 10;
 
-} // namespace
-
-AcceptLoop::AcceptLoop(int Listener, OnAccepted Callback)
-    : Accepted(std::move(Callback)), ListenDescriptor(Listener),
-      StopDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
-      Thread([this] { run(); }) {}
-
-AcceptLoop::~AcceptLoop() {
-  stop();
-  close(StopDescriptor);
+AcceptLoop::AcceptLoop(int Descriptor, Handler Accepted)
+    : ListenDescriptor(Descriptor),
+      WakeDescriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
+      OnAccepted(std::move(Accepted)) {
+  Thread = std::thread([this] { run(); });
 }
 
+AcceptLoop::~AcceptLoop() { stop(); }
+
 void AcceptLoop::stop() {
-  std::lock_guard<std::mutex> Guard(Lock);
-  if (Stopped)
+  if (!Thread.joinable())
     return;
-  Stopped = true;
-  eventfd_write(StopDescriptor, 1);
+  std::uint64_t One = 1;
+  while (write(WakeDescriptor, &One, sizeof(One)) < 0 && errno == EINTR) {
+  }
   Thread.join();
+  acceptAll();
   close(ListenDescriptor);
+  close(WakeDescriptor);
 }
 
 void AcceptLoop::run() {
-  pollfd Waiting[] = {{StopDescriptor, POLLIN, 0},
-                      {ListenDescriptor, POLLIN, 0}};
-  for (;;) {
-    poll(Waiting, 2, -1);
-    if (Waiting[0].revents != 0)
+  pollfd Watched[] = {{ListenDescriptor, POLLIN, 0},
+                      {WakeDescriptor, POLLIN, 0}};
+  while (true) {
+    if (poll(Watched, 2, -1) < 0)
+      continue;
+    if (Watched[1].revents != 0)
       return;
-    if (Waiting[1].revents != 0)
-      acceptAll();
+    acceptAll();
   }
 }
 
 void AcceptLoop::acceptAll() {
-  for (;;) {
-    sockaddr_storage Peer = {};
-    socklen_t Length = sizeof(Peer);
-    auto *Raw = reinterpret_cast<sockaddr *>(&Peer);
-    int Socket =
-        accept4(ListenDescriptor, Raw, &Length, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (Socket >= 0) {
-      Accepted(Socket, Raw, Length);
+  while (true) {
+    sockaddr_storage Address{};
+    socklen_t Size = sizeof(Address);
+    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
+    int Accepted =
+        accept4(ListenDescriptor, Generic, &Size, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (Accepted >= 0) {
+      OnAccepted(Accepted, Generic, Size);
       continue;
     }
     if (errno == EINTR || errno == ECONNABORTED)
       continue;
-    if (errno != EAGAIN) {
-      pollfd Stop = {StopDescriptor, POLLIN, 0};
-      poll(&Stop, 1, RetryPauseMs);
-    }
+    if (errno != EAGAIN && errno != EWOULDBLOCK)
+      poll(nullptr, 0, FailurePauseMillis);
     return;
   }
 }
--- a/src/transport/net/AcceptLoop.h
+++ b/src/transport/net/AcceptLoop.h
@@ -2,39 +2,35 @@
 #define QUETZALLEAD_TRANSPORT_NET_ACCEPTLOOP_H
 
 #include <functional>
-#include <mutex>
 #include <sys/socket.h>
 #include <thread>
 
 namespace quetzallead {
 
-/// A thread that accepts connections until it is told to stop.
+/// Accepts connections on a listening socket, on a thread of its own.
 class AcceptLoop {
 public:
-  /// Takes each new connection, non-blocking, and owns it from then on. Called
-  /// on the loop's thread.
-  using OnAccepted =
-      std::function<void(int Socket, const sockaddr *Peer, socklen_t Length)>;
+  /// Takes over \p Descriptor, a connected socket.
+  using Handler = std::function<void(int Descriptor, const sockaddr *Address,
+                                     socklen_t AddressSize)>;
 
-  /// Accepts from the listening socket \p Listener, which it owns.
-  AcceptLoop(int Listener, OnAccepted Callback);
+  /// Owns \p ListenDescriptor, which must be non-blocking, from then on.
+  AcceptLoop(int ListenDescriptor, Handler OnAccepted);
+  ~AcceptLoop();
   AcceptLoop(const AcceptLoop &) = delete;
   AcceptLoop &operator=(const AcceptLoop &) = delete;
-  ~AcceptLoop();
 
-  /// Closes the listening socket; connections that nobody accepted yet are
-  /// reset. Returns when no callback runs any more. Not for the loop's thread.
+  /// Hands over the connections that the kernel has already taken, then closes
+  /// the listening socket. Returns when that is done; later calls do nothing.
   void stop();
 
 private:
   void run();
   void acceptAll();
 
-  const OnAccepted Accepted;
-  const int ListenDescriptor;
-  const int StopDescriptor;
-  std::mutex Lock;
-  bool Stopped = false;
+  int ListenDescriptor;
+  int WakeDescriptor;
+  const Handler OnAccepted;
   std::thread Thread;
 };
 
