membership: urgent notices overtake urgent news of members

Records that change all at once (a joining fleet, a healed cut) are urgent too, and held a server's notice up. Order is now urgent, notice, least sent; a test gives a notice right after the start of the fleet.

--- a/src/core/membership/NewsQueue.cpp
+++ b/src/core/membership/NewsQueue.cpp
@@ -44,8 +44,7 @@
   for (const auto &Row : Items)
     Order.push_back(&Row);
   const auto GoesFirst = [](const auto *A, const auto *B) {
-    return std::make_tuple(!A->second.Urgent, A->second.Sends) <
-           std::make_tuple(!B->second.Urgent, B->second.Sends);
+    return order(A->first, A->second) < order(B->first, B->second);
   };
   const std::size_t Count = std::min(Order.size(), MaxItemsPerMessage);
   std::partial_sort(Order.begin(),
@@ -92,6 +91,14 @@
     markSent(K, MaxSends);
 }
 
+/// Urgent notices go before urgent news of members, of which a restart of many
+/// instances brings many at once; then what was sent least.
+std::tuple<bool, bool, int> NewsQueue::order(const Key &K, const Item &I) {
+  const NewsKind Kind = std::get<NewsKind>(K);
+  const bool IsNotice = Kind == NewsKind::Server || Kind == NewsKind::Departure;
+  return {!I.Urgent, !IsNotice, I.Sends};
+}
+
 void NewsQueue::markSent(const Key &K, int MaxSends) {
   Item &I = Items.find(K)->second;
   ++I.Sends;
--- a/src/core/membership/NewsQueue.h
+++ b/src/core/membership/NewsQueue.h
@@ -33,8 +33,9 @@
   bool hasUrgent() const { return UrgentCount > 0; }
   std::size_t size() const { return Items.size(); }
 
-  /// Adds to \p Message up to \p MaxBytes of news, urgent and least sent first.
-  /// Drops what was sent \p MaxSends times, sheet revisions after half of that.
+  /// Adds to \p Message up to \p MaxBytes of news, urgent first, notices before
+  /// members, then least sent. Drops what was sent \p MaxSends times, sheet
+  /// revisions after half of that.
   void fill(GossipMessage &Message, const MemberTable &Members,
             const NoticeBoard &Notices, std::size_t MaxBytes, int MaxSends);
 
@@ -45,6 +46,7 @@
   };
   using ItemMap = absl::btree_map<Key, Item>;
 
+  static std::tuple<bool, bool, int> order(const Key &K, const Item &I);
   void markSent(const Key &K, int MaxSends);
   void drop(const Key &K);
 
--- a/tests/core/MembershipTest.cpp
+++ b/tests/core/MembershipTest.cpp
@@ -89,6 +89,17 @@
             0);
 }
 
+TEST_P(MembershipTest, NewsOfAServerOvertakesThatOfManyInstances) {
+  // Right after the start the records of all instances are urgent news.
+  World.run(8);
+  World.act(
+      4, World.at(4).noticeServer("s1", ServerNoticeState::Leaving, World.Now));
+  EXPECT_GE(World.runUntil(
+                [&] { return World.allHold("s1", ServerNoticeState::Leaving); },
+                NoticeRounds),
+            0);
+}
+
 TEST_P(MembershipTest, AServerThatComesBackIsBelieved) {
   ASSERT_TRUE(converges(JoinRounds));
   World.act(4,
