--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -84,8 +84,12 @@
 }
 
 void ChildProcess::pause() {
-  if (!ExitCode)
-    ::kill(Pid, SIGSTOP);
+  if (ExitCode)
+    return;
+  ::kill(Pid, SIGSTOP);
+  // The signal takes effect later; wait until all threads stand still.
+  siginfo_t Stopped = {};
+  waitid(P_PID, static_cast<id_t>(Pid), &Stopped, WSTOPPED);
 }
 
 void ChildProcess::resume() {
--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -33,7 +33,7 @@
   void terminate();
   /// Sends SIGKILL.
   void kill();
-  /// Sends SIGSTOP and SIGCONT.
+  /// Send SIGSTOP, and wait until it has stopped, and SIGCONT.
   void pause();
   void resume();
   /// Waits for its end. The exit code, 128 plus the signal that ended it, or
--- a/tests/support/TestFleet.cpp
+++ b/tests/support/TestFleet.cpp
@@ -16,13 +16,11 @@
 /// Bytes of a daemon's log that a failure message shows.
 static constexpr std::size_t ShownLogBytes = 4000;
 
-static std::string secretsText() {
-  const json Keys = json::array(
-      {{{"id", "k1"},
-        {"secret", absl::Base64Escape("session-key-of-the-tests-0001")}}});
-  return json{{"peer_key", absl::Base64Escape("peer-key-of-the-tests-000001")},
-              {"operator_token", OperatorToken},
-              {"session_keys", Keys}}
+static std::string secretsText(const json &Keys) {
+  return json{
+      {"peer_key", absl::Base64Escape("peer-key-of-the-tests-0000000000001")},
+      {"operator_token", OperatorToken},
+      {"session_keys", Keys}}
       .dump();
 }
 
@@ -46,14 +44,11 @@
 bool TestFleet::start() {
   if (!startFakes())
     return false;
-  const std::string SecretsFile = Folder.write("secrets.json", secretsText());
-  for (const std::unique_ptr<TestDaemon> &Member : Members) {
-    writeSettings(*Member, SecretsFile);
-    Member->Process = ChildProcess::start(QUETZALLEAD_DAEMON,
-                                          {"--settings", Member->SettingsFile});
-    if (Member->Process == nullptr ||
-        !Member->Process->waitForOutput("event=started", GenerousLimit))
-      return fail("daemon did not start: " + Member->Instance);
+  const std::string SecretsFile = writeSecrets(json::array({firstKey()}));
+  for (std::size_t Index = 0; Index < Members.size(); ++Index) {
+    writeSettings(*Members[Index], SecretsFile);
+    if (!launchDaemon(Index))
+      return fail("daemon did not start: " + Members[Index]->Instance);
   }
   const std::string Outcome = submitSheet(0);
   if (Outcome != "accepted")
@@ -104,11 +99,26 @@
       Folder.write(Member.Instance + ".json", Settings.dump());
 }
 
-bool TestFleet::startDaemon(std::size_t Index) {
+json TestFleet::firstKey() {
+  return {
+      {"id", "k1"},
+      {"secret", absl::Base64Escape("session-key-of-the-tests-00000000001")}};
+}
+
+std::string TestFleet::writeSecrets(const json &SessionKeys) {
+  return Folder.write("secrets.json", secretsText(SessionKeys));
+}
+
+bool TestFleet::launchDaemon(std::size_t Index) {
   TestDaemon &Member = *Members[Index];
   Member.Process = ChildProcess::start(QUETZALLEAD_DAEMON,
                                        {"--settings", Member.SettingsFile});
-  return Member.Process != nullptr && waitReady(Index);
+  return Member.Process != nullptr &&
+         Member.Process->waitForOutput("event=started", GenerousLimit);
+}
+
+bool TestFleet::startDaemon(std::size_t Index) {
+  return launchDaemon(Index) && waitReady(Index);
 }
 
 bool TestFleet::waitReady(std::size_t Index) {
--- a/tests/support/TestFleet.h
+++ b/tests/support/TestFleet.h
@@ -45,6 +45,12 @@
   std::size_t size() const { return Members.size(); }
   nlohmann::json &sheet() { return Sheet; }
 
+  /// The session key that a fleet starts with, as in the secrets file.
+  static nlohmann::json firstKey();
+  /// Writes the secrets file that all daemons read when they start; its path.
+  std::string writeSecrets(const nlohmann::json &SessionKeys);
+  /// Starts a daemon; false if it does not listen in good time.
+  bool launchDaemon(std::size_t Index);
   /// Starts a daemon anew, under its old settings; false if it is not ready in
   /// good time.
   bool startDaemon(std::size_t Index);
