--- a/tests/support/CommandCaller.cpp
+++ b/tests/support/CommandCaller.cpp
@@ -44,7 +44,7 @@
   Headers.add("Idempotency-Key", Command.Ticket);
   const json Body = {{"key", testKey(Command.Shard)},
                      {"command", Command.Content}};
-  const std::string Word = wordOf(Fleet.ask(Index, "command", Body, Headers));
+  std::string Word = wordOf(Fleet.ask(Index, "command", Body, Headers));
   const absl::MutexLock Held(&Lock);
   Notes.push_back({Command.Content, Word});
   return Word;
--- a/tests/support/CoverageCheck.cpp
+++ b/tests/support/CoverageCheck.cpp
@@ -71,7 +71,8 @@
     expect(Held.size() == (IsMissing ? 0 : RowsPerShard),
            absl::StrCat(Shard, " has ", Held.size(), " rows"));
     for (const std::string &Key : Held)
-      expect(Key >= From && (IsLast || Key < To), Key + " is not of " + Shard);
+      expect(Key >= From && (IsLast || Key < To),
+             absl::StrCat(Key, " is not of ", Shard));
     if (IsMissing)
       expect(Lost->second["from"] == From && Lost->second["to"] == To,
              Shard + " is missing with another range");
