--- a/tests/load/TierCallerTest.cpp
+++ b/tests/load/TierCallerTest.cpp
@@ -20,10 +20,11 @@
     auto Made = capture([this] {
       HttpServerOptions Options;
       Options.Listen = "127.0.0.1:0";
-      return HttpServer::make(
-          Options, [this](HttpRequest Request, HttpServer::Responder Respond) {
-            Respond(answer(Request));
-          });
+      return HttpServer::make(Options,
+                              [this](const HttpRequest &Request,
+                                     const HttpServer::Responder &Respond) {
+                                Respond(answer(Request));
+                              });
     });
     Server = std::move(std::get<std::unique_ptr<HttpServer>>(Made));
   }
