--- a/include/quetzallead/ReplicaSet.h
+++ b/include/quetzallead/ReplicaSet.h
@@ -2,9 +2,9 @@
 #define QUETZALLEAD_REPLICASET_H
 
 #include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
 #include "quetzallead/AttemptResult.h"
 #include "quetzallead/MissingReason.h"
+#include "quetzallead/PosixMutex.h"
 #include "quetzallead/Priority.h"
 #include "quetzallead/ReplicaMask.h"
 #include "quetzallead/RoutingPolicy.h"
@@ -122,6 +122,13 @@
   /// on; not if the probe came too soon to be believed.
   bool noteHealthy(const std::string &Server, TimePoint Now);
 
+  /// A probe of \p Replica was answered: a server that waits for one may be
+  /// tried again, with one attempt at a time at first.
+  void noteReachable(std::size_t Replica, TimePoint Now);
+  /// A probe of \p Replica could not connect: the server is down, so that the
+  /// next probe that is answered tells of its return.
+  void noteUnreachable(std::size_t Replica, TimePoint Now);
+
   /// Number of replica indexes in use.
   std::size_t size() const;
   BackendServerSpec spec(std::size_t Replica) const;
@@ -170,6 +177,8 @@
   int chooseByCompletion(const std::vector<int> &Allowed,
                          const std::vector<int> &Free, TimePoint Now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  MissingReason refusalReason(const PermitRequest &Request) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void take(Server &S) const;
   std::vector<PermitGrant> drainQueue(TimePoint Now)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
@@ -177,7 +186,7 @@
   Server *find(const std::string &Name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
 
   const ReplicaSetOptions Options;
-  mutable absl::Mutex Mutex;
+  mutable PosixMutex Mutex;
   std::vector<Server> Servers ABSL_GUARDED_BY(Mutex);
   std::array<std::list<Waiter>, PriorityCount> Queues ABSL_GUARDED_BY(Mutex);
   std::size_t Queued ABSL_GUARDED_BY(Mutex) = 0;
--- a/include/quetzallead/RetryBudget.h
+++ b/include/quetzallead/RetryBudget.h
@@ -24,8 +24,10 @@
   bool spendOnHedge(TimePoint Now);
   /// Gives back what an attempt cost that was not sent after all.
   void refund();
-  /// Extra attempts that can be paid for now.
+  /// Extra attempts that could be paid for when last counted.
   double available() const;
+  /// As available(), with what came with time until \p Now.
+  double available(TimePoint Now);
 
 private:
   void add(std::int64_t Amount);
--- a/include/quetzallead/ServerBelief.h
+++ b/include/quetzallead/ServerBelief.h
@@ -41,6 +41,8 @@
   int ConsecutiveFailures = 0;
   /// No attempt before this time, unless no other replica is left.
   TimePoint EjectedUntil = absl::InfinitePast();
+  /// No attempt, unless no other replica is left, until a probe is answered.
+  bool NeedsProbe = false;
   /// Overloaded until about this time.
   TimePoint ShedUntil = absl::InfinitePast();
   LeavingCause Leaving = LeavingCause::None;
--- a/include/quetzallead/SubReply.h
+++ b/include/quetzallead/SubReply.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_SUBREPLY_H
 #define QUETZALLEAD_SUBREPLY_H
 
+#include "quetzallead/HeldVersions.h"
 #include "quetzallead/LoadReport.h"
 #include "quetzallead/Snapshot.h"
 #include <cstdint>
@@ -20,6 +21,8 @@
   nlohmann::json Rows;
   std::uint64_t Count = 0;
   std::optional<LoadReport> Load;
+  /// What the server says it holds; unknown if it does not say.
+  HeldVersions Held;
 };
 
 } // namespace quetzallead
--- a/include/quetzallead/Survey.h
+++ b/include/quetzallead/Survey.h
@@ -31,6 +31,9 @@
   /// The replica set refused a permit.
   void onRefused(std::size_t Index, MissingReason Reason, Duration After,
                  TimePoint Now, SurveyActions &Out);
+  /// What the replicas of part \p Index are known to hold, by index; told
+  /// before a refusal for MissingReason::OtherVersion.
+  void learnHeld(std::size_t Index, const std::vector<HeldVersions> &Held);
   void onReply(AttemptId Id, SubReply Reply, TimePoint Now, SurveyActions &Out);
   /// The attempt ended without a reply. \p Held is what the server said it
   /// holds, for AttemptResult::WrongVersion.
--- a/include/quetzallead/SurveyTrace.h
+++ b/include/quetzallead/SurveyTrace.h
@@ -14,12 +14,12 @@
 namespace quetzallead {
 
 /// What was fed to a survey.
-enum class TraceEventKind { Permit, Refused, Reply, Failure, Timer };
+enum class TraceEventKind { Permit, Refused, Reply, Failure, Timer, Held };
 
 inline constexpr NamedValue<TraceEventKind> TraceEventKindNames[] = {
     {TraceEventKind::Permit, "permit"}, {TraceEventKind::Refused, "refused"},
     {TraceEventKind::Reply, "reply"},   {TraceEventKind::Failure, "failure"},
-    {TraceEventKind::Timer, "timer"},
+    {TraceEventKind::Timer, "timer"},   {TraceEventKind::Held, "held"},
 };
 
 /// One event of a recorded survey; the fields of its kind are set.
@@ -35,6 +35,7 @@
   AttemptResult Result = AttemptResult::Unused;
   HeldVersions Held;
   SubReply Reply;
+  std::vector<HeldVersions> HeldByReplica;
 };
 
 /// What a survey came to.
--- a/src/core/query/Survey.cpp
+++ b/src/core/query/Survey.cpp
@@ -18,11 +18,15 @@
 /// Pause before a part whose replicas all refused it, or whose retry cannot be
 /// paid for yet, is tried again; doubled each round.
 static constexpr Duration FirstBackoff = absl::Milliseconds(15);
-/// Weight of a replica that lags behind a version and may reach it in time.
-static constexpr double LaggingWeight = 0.5;
+/// How much a shard counts for a version: with a reply at hand 1, with a
+/// replica that is known to hold it, of which nothing is known, or that lags
+/// behind and may reach it in time. What is known outweighs what may be.
+static constexpr double HolderWeight = 0.95;
+static constexpr double UnknownWeight = 0.6;
+static constexpr double LaggingWeight = 0.4;
 /// Weight, over all parts together, of how many replicas hold a version: among
 /// versions with the same coverage the one with more capacity is taken.
-static constexpr double HolderWeight = 0.4;
+static constexpr double CapacityWeight = 0.3;
 
 Survey::Survey(SurveyPlan SurveyPlan, RetryBudget &ServiceBudget)
     : Plan(std::move(SurveyPlan)), Budget(ServiceBudget),
@@ -100,13 +104,28 @@
   RetryAfter = std::max(RetryAfter, After);
   // No replica is left to try: the last attempt's reason says more.
   bool Exhausted = Reason == MissingReason::NoReplica && P.Sent > 0;
-  if (Exhausted && P.LastReason == MissingReason::OtherVersion) {
-    block(Index, Now, Out);
+  bool WrongVersion =
+      Reason == MissingReason::OtherVersion ||
+      (Exhausted && P.LastReason == MissingReason::OtherVersion);
+  if (WrongVersion) {
+    P.LastReason = MissingReason::OtherVersion;
+    P.State = PartState::Asking;
+    reconsiderTarget(Now, Out);
+    if (!Done && P.State == PartState::Asking && !P.WaitPending)
+      block(Index, Now, Out);
     return;
   }
   giveUp(Index, Exhausted ? P.LastReason : Reason, Now, Out);
 }
 
+void Survey::learnHeld(std::size_t Index,
+                       const std::vector<HeldVersions> &Held) {
+  std::vector<HeldVersions> &Known = Plan.Parts[Index].Held;
+  for (std::size_t R = 0; R < Known.size() && R < Held.size(); ++R)
+    if (Held[R].known() && Held[R].Epoch == Plan.Epoch)
+      Known[R] = Held[R];
+}
+
 void Survey::endAttempt(AttemptId Id) {
   Attempt &A = Attempts[Id];
   assert(A.Live && "an attempt ends once");
@@ -142,9 +161,9 @@
   }
   std::uint64_t Version = Reply.Taken.Version;
   HeldVersions &Held = PP.Held[Replica];
-  Held.Epoch = Reply.Taken.Epoch;
-  Held.Oldest = Held.known() ? std::min(Held.Oldest, Version) : Version;
-  Held.Newest = std::max(Held.Newest, Version);
+  Held = Reply.Held;
+  if (!Held.known())
+    Held = HeldVersions{Reply.Taken.Epoch, Version, Version};
   if (Version < Plan.MinVersion) {
     P.Tried |= replicaBit(Replica);
     P.LastReason = MissingReason::OtherVersion;
@@ -331,14 +350,15 @@
     if ((PP.Unusable & replicaBit(R)) != 0)
       continue;
     if (PP.Held[R].mayHold(Version)) {
-      Best = 1;
+      bool Known = PP.Held[R].known();
+      Best = std::max(Best, Known ? HolderWeight : UnknownWeight);
       ++Holders;
     } else if (PP.Held[R].mayReach(Version)) {
       Best = std::max(Best, LaggingWeight);
     }
   }
   auto Replicas = static_cast<double>(PP.Held.size() * Parts.size());
-  return Best + HolderWeight * Holders / std::max(1.0, Replicas);
+  return Best + CapacityWeight * Holders / std::max(1.0, Replicas);
 }
 
 double Survey::targetScore(std::uint64_t Version) const {
--- a/src/core/query/SurveyReplay.cpp
+++ b/src/core/query/SurveyReplay.cpp
@@ -65,6 +65,9 @@
         return false;
       Query.onFailure(Event.Attempt, Event.Result, Event.Held, Now, Out);
       break;
+    case TraceEventKind::Held:
+      Query.learnHeld(Event.Part, Event.HeldByReplica);
+      break;
     case TraceEventKind::Timer:
       Query.onTimer(Now, Out);
       break;
--- a/src/core/query/SurveyTraceCodec.cpp
+++ b/src/core/query/SurveyTraceCodec.cpp
@@ -122,12 +122,19 @@
     Out["to"] = Event.Reply.To;
     Out["rows"] = Event.Reply.Rows;
     Out["count"] = Event.Reply.Count;
+    Out["held"] = writeHeld(Event.Reply.Held);
     break;
   case TraceEventKind::Failure:
     Out["attempt"] = Event.Attempt;
     Out["result"] = nameOf(AttemptResultNames, Event.Result);
     Out["held"] = writeHeld(Event.Held);
     break;
+  case TraceEventKind::Held:
+    Out["part"] = Event.Part;
+    Out["held"] = ordered_json::array();
+    for (const HeldVersions &Held : Event.HeldByReplica)
+      Out["held"].push_back(writeHeld(Held));
+    break;
   case TraceEventKind::Timer:
     break;
   }
@@ -160,12 +167,18 @@
     Event.Reply.To = Reader.text("to", 0, MaxText);
     Event.Reply.Rows = Reader.any("rows");
     Event.Reply.Count = Number("count");
+    Event.Reply.Held = readHeld(Reader.optionalObject("held"));
     break;
   case TraceEventKind::Failure:
     Event.Attempt = static_cast<AttemptId>(Number("attempt"));
     Event.Result = Reader.choice("result", AttemptResultNames);
     Event.Held = readHeld(Reader.object("held"));
     break;
+  case TraceEventKind::Held:
+    Event.Part = Number("part");
+    for (JsonReader &Held : Reader.objects("held", 0, MaxReplicas))
+      Event.HeldByReplica.push_back(readHeld(Held));
+    break;
   case TraceEventKind::Timer:
     break;
   }
--- a/src/core/routing/ReplicaSet.cpp
+++ b/src/core/routing/ReplicaSet.cpp
@@ -49,7 +49,7 @@
 
 std::vector<PermitGrant> ReplicaSet::update(const ShardSpec &Spec,
                                             int Instances, TimePoint Now) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   for (Server &S : Servers)
     S.Removed = true;
   for (const BackendServerSpec &Wanted : Spec.Servers) {
@@ -145,11 +145,11 @@
     return false;
   const HeldVersions &Held = S.Belief.Held;
   bool Holds = Held.mayHold(Request.Version);
+  bool Ejected = S.Belief.NeedsProbe || Now < S.Belief.EjectedUntil;
   if (Pass == ChoicePass::Preferred)
-    return Holds && Now >= S.Belief.EjectedUntil;
+    return Holds && !Ejected;
   if (Pass == ChoicePass::Lagging)
-    return (Holds || Held.mayReach(Request.Version)) &&
-           Now >= S.Belief.EjectedUntil;
+    return (Holds || Held.mayReach(Request.Version)) && !Ejected;
   return Holds || Held.mayReach(Request.Version);
 }
 
@@ -228,6 +228,17 @@
   return Best;
 }
 
+MissingReason ReplicaSet::refusalReason(const PermitRequest &Request) const {
+  for (std::size_t Index = 0; Index < Servers.size(); ++Index) {
+    const Server &S = Servers[Index];
+    bool Usable = (Request.Excluded & replicaBit(Index)) == 0 && !S.Removed &&
+                  S.Belief.Leaving == LeavingCause::None;
+    if (Usable)
+      return MissingReason::OtherVersion;
+  }
+  return MissingReason::NoReplica;
+}
+
 void ReplicaSet::take(Server &S) const {
   ++S.Belief.Outstanding;
   S.Belief.WarmConnections =
@@ -237,7 +248,7 @@
 Permit ReplicaSet::acquire(const PermitRequest &Request,
                            const std::shared_ptr<PermitListener> &Listener,
                            TimePoint Now) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Permit P;
   bool AnyAllowed = false;
   bool Overtakes = Request.MayWait && Queued > 0;
@@ -257,7 +268,7 @@
     return P;
   }
   if (!AnyAllowed) {
-    P.Reason = MissingReason::NoReplica;
+    P.Reason = refusalReason(Request);
     P.RetryAfter = LeastRetryAfter;
     return P;
   }
@@ -280,7 +291,7 @@
 }
 
 bool ReplicaSet::acquireOn(std::size_t Replica) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Server &S = Servers[Replica];
   if (S.Belief.Outstanding >= S.ConnectionShare)
     return false;
@@ -289,7 +300,7 @@
 }
 
 bool ReplicaSet::abandon(std::uint64_t WaitId) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   for (auto &Queue : Queues)
     for (auto It = Queue.begin(); It != Queue.end(); ++It)
       if (It->Id == WaitId) {
@@ -303,7 +314,7 @@
 std::vector<PermitGrant> ReplicaSet::release(std::size_t Replica,
                                              const AttemptReport &Report,
                                              TimePoint Now) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Server &S = Servers[Replica];
   assert(S.Belief.Outstanding > 0 && "released more than was acquired");
   --S.Belief.Outstanding;
@@ -352,6 +363,7 @@
   int Excess = std::min(8, B.ConsecutiveFailures - 1);
   Duration Time = FirstEjection * static_cast<double>(1 << std::max(0, Excess));
   B.EjectedUntil = Now + std::min(LongestEjection, Time);
+  B.NeedsProbe = B.ConsecutiveFailures >= FailuresToEject;
   B.RampUntil = B.EjectedUntil + RampTime;
   B.WarmConnections = 0;
 }
@@ -388,6 +400,7 @@
     B.ConsecutiveFailures = 0;
     B.AnsweredAt = Now;
     B.EjectedUntil = absl::InfinitePast();
+    B.NeedsProbe = false;
     learnLatency(B, Report.Elapsed, Now);
     adaptLimit(B, Report.Elapsed, S.ConnectionShare);
     return;
@@ -417,6 +430,10 @@
     if (Report.Result == AttemptResult::NotSent ||
         B.ConsecutiveFailures >= FailuresToEject)
       eject(B, Now);
+    // It takes connections and gives nothing: its outcomes count for more than
+    // a health report that may say otherwise.
+    if (Report.Result == AttemptResult::Lost && B.NeedsProbe)
+      B.EjectedUntil = Now + FirstDrainHold;
     return;
   case AttemptResult::Cancelled:
     // The reply would have taken longer still.
@@ -429,7 +446,7 @@
 }
 
 Duration ReplicaSet::expectedWait(Priority Urgency, TimePoint Now) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return waitLocked(Urgency, Now);
 }
 
@@ -456,7 +473,7 @@
 
 void ReplicaSet::noteLeaving(const std::string &Name, LeavingCause Cause,
                              TimePoint Now) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Server *S = find(Name);
   if (S == nullptr)
     return;
@@ -476,7 +493,7 @@
 }
 
 void ReplicaSet::noteDead(const std::string &Name, TimePoint Now) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Server *S = find(Name);
   if (S == nullptr || Now - S->Belief.AnsweredAt < OwnWordLife)
     return;
@@ -484,8 +501,24 @@
   eject(S->Belief, Now);
 }
 
+void ReplicaSet::noteReachable(std::size_t Replica, TimePoint Now) {
+  PosixMutexLock Lock(&Mutex);
+  ServerBelief &B = Servers[Replica].Belief;
+  if (!B.NeedsProbe || Now < B.EjectedUntil)
+    return;
+  B.NeedsProbe = false;
+  B.RampUntil = Now + RampTime;
+}
+
+void ReplicaSet::noteUnreachable(std::size_t Replica, TimePoint Now) {
+  PosixMutexLock Lock(&Mutex);
+  ServerBelief &B = Servers[Replica].Belief;
+  if (B.NeedsProbe)
+    B.EjectedUntil = std::min(B.EjectedUntil, Now);
+}
+
 bool ReplicaSet::noteHealthy(const std::string &Name, TimePoint Now) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Server *S = find(Name);
   if (S == nullptr)
     return false;
@@ -501,27 +534,27 @@
 }
 
 std::size_t ReplicaSet::size() const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Servers.size();
 }
 
 BackendServerSpec ReplicaSet::spec(std::size_t Replica) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Servers[Replica].Spec;
 }
 
 ServerBelief ReplicaSet::belief(std::size_t Replica) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Servers[Replica].Belief;
 }
 
 bool ReplicaSet::removed(std::size_t Replica) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Servers[Replica].Removed;
 }
 
 std::vector<HeldVersions> ReplicaSet::heldVersions(ReplicaMask &Removed) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   std::vector<HeldVersions> Held;
   Held.reserve(Servers.size());
   Removed = 0;
@@ -534,12 +567,12 @@
 }
 
 std::size_t ReplicaSet::queueLength(Priority Urgency) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Queues[static_cast<int>(Urgency)].size();
 }
 
 std::size_t ReplicaSet::queueLength() const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Queued;
 }
 
--- a/src/core/routing/RetryBudget.cpp
+++ b/src/core/routing/RetryBudget.cpp
@@ -62,6 +62,11 @@
   return spend(RetryReserve);
 }
 
+double RetryBudget::available(TimePoint Now) {
+  refill(Now);
+  return available();
+}
+
 double RetryBudget::available() const {
   return static_cast<double>(Tokens.load(std::memory_order_relaxed)) /
          static_cast<double>(TokensPerAttempt);
--- a/src/daemon/AdminFrontend.cpp
+++ b/src/daemon/AdminFrontend.cpp
@@ -151,7 +151,7 @@
     State = "leaving";
     Why = absl::StrCat("told by ", nameOf(LeavingCauseNames, B.Leaving), " at ",
                        timeText(B.LeavingSince));
-  } else if (Now < B.EjectedUntil) {
+  } else if (B.NeedsProbe || Now < B.EjectedUntil) {
     State = "ejected";
     Why = absl::StrCat(B.ConsecutiveFailures, " failures in a row, until ",
                        timeText(B.EjectedUntil));
--- a/src/daemon/BackendCodec.cpp
+++ b/src/daemon/BackendCodec.cpp
@@ -85,6 +85,10 @@
 static bool readResult(const json &Body, bool WantsCount, SubReply &Reply) {
   Reply.Taken.Epoch = unsignedField(Body, "epoch");
   Reply.Taken.Version = unsignedField(Body, "version");
+  std::uint64_t Newest = unsignedField(Body, "newest");
+  if (Newest >= Reply.Taken.Version)
+    Reply.Held =
+        HeldVersions{Reply.Taken.Epoch, unsignedField(Body, "oldest"), Newest};
   Reply.From = textField(Body, "from");
   Reply.To = textField(Body, "to");
   if (Reply.Taken.Version == 0 || !Body.contains("from") ||
--- a/src/daemon/ClusterDirectory.cpp
+++ b/src/daemon/ClusterDirectory.cpp
@@ -40,7 +40,7 @@
                                   TimePoint Now) {
   std::vector<PermitGrant> Grants;
   {
-    absl::MutexLock Lock(&WriterMutex);
+    PosixMutexLock Lock(&WriterMutex);
     std::shared_ptr<const ClusterView> Old = view();
     if (Revision <= Old->Revision)
       return;
@@ -65,7 +65,7 @@
 void ClusterDirectory::applyInstanceCount(int Count, TimePoint Now) {
   std::vector<PermitGrant> Grants;
   {
-    absl::MutexLock Lock(&WriterMutex);
+    PosixMutexLock Lock(&WriterMutex);
     if (Count == Instances || Count < 1)
       return;
     Instances = Count;
--- a/src/daemon/ClusterDirectory.h
+++ b/src/daemon/ClusterDirectory.h
@@ -2,10 +2,10 @@
 #define QUETZALLEAD_DAEMON_CLUSTERDIRECTORY_H
 
 #include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
 #include "daemon/ClusterView.h"
 #include "daemon/RcuCell.h"
 #include "daemon/Settings.h"
+#include "quetzallead/PosixMutex.h"
 #include "quetzallead/Sheet.h"
 #include "quetzallead/Time.h"
 #include <memory>
@@ -43,7 +43,7 @@
   const std::string Zone;
   const PolicySettings Policy;
   const int QueuePerShard;
-  absl::Mutex WriterMutex;
+  PosixMutex WriterMutex;
   int Instances ABSL_GUARDED_BY(WriterMutex) = 1;
   std::uint64_t NextSeed ABSL_GUARDED_BY(WriterMutex);
   RcuCell<ClusterView> Current;
--- a/src/daemon/CommandService.cpp
+++ b/src/daemon/CommandService.cpp
@@ -54,18 +54,18 @@
       Ledger(std::move(Instance), Incarnation, std::move(Keys),
              std::move(Standing)) {
   Ticker = Env.Timers.every(TickPeriod, [this](TimePoint Now) {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Ledger.tick(Now);
   });
 }
 
 std::string CommandService::issueTicket(TimePoint Now) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Ledger.issueTicket(Now);
 }
 
 void CommandService::replaceKeys(std::shared_ptr<const KeyRing> Keys) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Ledger.replaceKeys(std::move(Keys));
 }
 
@@ -116,7 +116,7 @@
   P.Record.SheetRevision = Directory.view()->Revision;
   P.Job = std::move(Job);
   dispatch([&](CommandLedger &L) {
-    Mutex.AssertHeld();
+    Mutex.assertHeld();
     Arrival.Id = NextArrival++;
     Arrivals.emplace(Arrival.Id, std::move(P));
     return L.received(Arrival, Now);
@@ -127,7 +127,7 @@
     const std::function<CommandActions(CommandLedger &)> &Feed) {
   CommandActions Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Actions = Feed(Ledger);
   }
   for (CommandAction &Action : Actions) {
@@ -143,7 +143,7 @@
 void CommandService::answer(AnswerCommand Action) {
   Pending P;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     auto It = Arrivals.find(Action.ArrivalId);
     if (It == Arrivals.end())
       return;
@@ -163,7 +163,7 @@
   auto A = std::make_shared<Attempt>(*this, Action);
   PermitRequest Request;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     const Pending &P = Arrivals.at(Action.ArrivalId);
     Request.Urgency = P.Job.Context.Urgency;
     Request.Deadline = P.Deadline;
@@ -184,7 +184,7 @@
     if (A->Set->abandon(WaitId))
       endWithoutReplica(A);
   });
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   // The permit may have come meanwhile.
   if (!A->Ended)
     A->Expiry = std::move(Expiry);
@@ -192,7 +192,7 @@
 
 void CommandService::endWaiting(const std::shared_ptr<Attempt> &A) {
   std::shared_ptr<TimerService::Subscription> Expiry;
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   A->Ended = true;
   Expiry = std::move(A->Expiry);
 }
@@ -212,7 +212,7 @@
   A->Replica = Replica;
   HttpCall Call;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Pending &P = Arrivals.at(A->Action.ArrivalId);
     P.Tried |= replicaBit(Replica);
     A->Id = absl::StrCat(P.Job.Context.RequestId, "-", A->Action.Attempt);
@@ -287,7 +287,7 @@
   if (Reply.Result == AttemptResult::Answered)
     Body = std::move(Outcome.Response.Body);
   dispatch([&](CommandLedger &L) {
-    Mutex.AssertHeld();
+    Mutex.assertHeld();
     AttemptRecord &R =
         Arrivals.at(A->Action.ArrivalId).Record.Attempts[A->Record];
     R.Ended = true;
@@ -304,7 +304,7 @@
   Duration Timeout;
   TimePoint Now = Env.Timers.now();
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     const Pending &P = Arrivals.at(Action.ArrivalId);
     TimePoint Deadline = P.Deadline - ForwardWayBack;
     Timeout = std::max(LeastTimeout, P.Deadline - Now);
@@ -330,19 +330,19 @@
 }
 
 void CommandService::drain() {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Ledger.drain();
 }
 
 bool CommandService::isDrained() const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Ledger.isDrained();
 }
 
 std::vector<std::string> CommandService::lastWords() const {
   TimePoint Now = Env.Timers.now();
   std::vector<std::string> Words;
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   for (const HandoverStatement &Statement : Ledger.lastWords())
     Words.push_back(encodeHandover(Statement, Now));
   return Words;
@@ -353,7 +353,7 @@
   std::optional<HandoverStatement> Statement = decodeHandover(Bytes, Now);
   if (!Statement)
     return false;
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Ledger.takeOver(std::move(*Statement), Now);
 }
 
--- a/src/daemon/CommandService.h
+++ b/src/daemon/CommandService.h
@@ -3,12 +3,12 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
-#include "absl/synchronization/mutex.h"
 #include "core/command/CommandLedger.h"
 #include "daemon/BackendCodec.h"
 #include "daemon/CommandJob.h"
 #include "daemon/DecisionRecord.h"
 #include "daemon/QueryEnvironment.h"
+#include "quetzallead/PosixMutex.h"
 #include "quetzallead/ReplicaMask.h"
 #include "runtime/TimerService.h"
 #include "transport/http/HttpMessage.h"
@@ -95,7 +95,7 @@
   ClusterDirectory &Directory;
   QueryEnvironment Env;
   const Forwarder Forward;
-  mutable absl::Mutex Mutex;
+  mutable PosixMutex Mutex;
   CommandLedger Ledger ABSL_GUARDED_BY(Mutex);
   absl::flat_hash_map<std::uint64_t, Pending> Arrivals ABSL_GUARDED_BY(Mutex);
   std::uint64_t NextArrival ABSL_GUARDED_BY(Mutex) = 1;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -198,19 +198,19 @@
   /// Answers to the calls of one handover.
   struct HandoverState {
     std::atomic<int> Left{0};
-    absl::Mutex Mutex;
+    PosixMutex Mutex;
     std::set<std::string> Failed;
 
     void ended(const std::string &Name, bool Held) {
       {
-        absl::MutexLock Lock(&Mutex);
+        PosixMutexLock Lock(&Mutex);
         if (!Held)
           Failed.insert(Name);
       }
       --Left;
     }
     std::vector<std::string> holders(const std::vector<std::string> &Asked) {
-      absl::MutexLock Lock(&Mutex);
+      PosixMutexLock Lock(&Mutex);
       std::vector<std::string> Out;
       for (const std::string &Name : Asked)
         if (Left.load() <= 0 && Failed.count(Name) == 0)
--- a/src/daemon/DecisionRing.cpp
+++ b/src/daemon/DecisionRing.cpp
@@ -3,7 +3,7 @@
 namespace quetzallead {
 
 void DecisionRing::add(DecisionRecord Record) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   std::string Id = Record.RequestId;
   bool New = Records.insert_or_assign(Id, std::move(Record)).second;
   if (!New)
@@ -17,7 +17,7 @@
 
 std::optional<DecisionRecord>
 DecisionRing::find(const std::string &RequestId) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   auto It = Records.find(RequestId);
   if (It == Records.end())
     return std::nullopt;
--- a/src/daemon/DecisionRing.h
+++ b/src/daemon/DecisionRing.h
@@ -3,8 +3,8 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
-#include "absl/synchronization/mutex.h"
 #include "daemon/DecisionRecord.h"
+#include "quetzallead/PosixMutex.h"
 #include <cstddef>
 #include <deque>
 #include <memory>
@@ -24,7 +24,7 @@
 
 private:
   const std::size_t Capacity;
-  mutable absl::Mutex Mutex;
+  mutable PosixMutex Mutex;
   std::deque<std::string> Order ABSL_GUARDED_BY(Mutex);
   absl::flat_hash_map<std::string, DecisionRecord>
       Records ABSL_GUARDED_BY(Mutex);
--- a/src/daemon/FleetService.cpp
+++ b/src/daemon/FleetService.cpp
@@ -39,7 +39,7 @@
   Options.Listen = Listen;
   Options.Keys = PeerKeys;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     const MemberRecord &Self = Members.self();
     Options.Self =
         PeerIdentity{Self.Name, Self.Zone, Self.Incarnation, Self.Address};
@@ -84,7 +84,7 @@
   Transport.reset();
   std::vector<PeerCallDone> Abandoned;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     for (auto &[Name, Queue] : ParkedFor)
       for (Parked &Item : Queue)
         if (Item.Done)
@@ -99,7 +99,7 @@
   MembershipActions Actions;
   bool Alone = false;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Actions = Members.tick(Now);
     Alone = LinkOf.empty();
   }
@@ -113,14 +113,14 @@
 void FleetService::listed(const std::vector<ListedInstance> &List) {
   MembershipActions Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Actions = Members.listed(List, Timers.now());
   }
   perform(std::move(Actions));
 }
 
 void FleetService::sheetInForce(std::uint64_t Revision) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Members.setSheetRevision(Revision, Timers.now());
 }
 
@@ -128,7 +128,7 @@
                                 ServerNoticeState State) {
   MembershipActions Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Actions = Members.noticeServer(Server, State, Timers.now());
   }
   perform(std::move(Actions));
@@ -137,7 +137,7 @@
 void FleetService::leave() {
   MembershipActions Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Actions = Members.leave(Timers.now());
   }
   perform(std::move(Actions));
@@ -146,7 +146,7 @@
 void FleetService::depart(std::vector<std::string> Successors) {
   MembershipActions Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Actions = Members.depart(std::move(Successors), Timers.now());
   }
   perform(std::move(Actions));
@@ -180,7 +180,7 @@
 void FleetService::updateCount() {
   int Count = 1;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     for (const auto &[Name, Entry] : Members.members().entries()) {
       const MemberRecord &R = Entry.Record;
       bool Other = Name != Members.self().Name;
@@ -211,7 +211,7 @@
     return transmit(*Id, std::move(Item));
   PeerCallDone Dropped;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     std::deque<Parked> &Queue = ParkedFor[Name];
     if (Queue.size() >= MaxParked) {
       Dropped = std::move(Queue.front().Done);
@@ -246,7 +246,7 @@
                         json Body, Duration Timeout, PeerCallDone Done) {
   std::string Address;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     const MemberTable::Entry *Entry = Members.members().find(Name);
     if (Entry != nullptr)
       Address = Entry->Record.Address;
@@ -261,7 +261,7 @@
 }
 
 std::optional<PeerId> FleetService::linkTo(const std::string &Name) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   auto Link = LinkOf.find(Name);
   if (Link == LinkOf.end())
     return std::nullopt;
@@ -271,7 +271,7 @@
 void FleetService::sendParked(const std::string &Name, PeerId Id) {
   std::deque<Parked> Waiting;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     auto It = ParkedFor.find(Name);
     if (It == ParkedFor.end())
       return;
@@ -290,7 +290,7 @@
   Record.Incarnation = Peer.Incarnation;
   MembershipActions Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     LinkOf[Peer.Instance] = Id;
     NameOf[Id] = Peer.Instance;
     Actions = Members.introduced(Record, Timers.now());
@@ -302,7 +302,7 @@
 void FleetService::onDisconnected(PeerId Id) {
   MembershipActions Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     auto It = NameOf.find(Id);
     if (It == NameOf.end())
       return;
@@ -322,7 +322,7 @@
   MembershipActions Actions;
   std::vector<PeerCallDone> Failed;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     for (const auto &[Name, Entry] : Members.members().entries()) {
       if (Entry.Record.Address != Address)
         continue;
@@ -345,7 +345,7 @@
 void FleetService::expireParked(TimePoint Now) {
   std::vector<PeerCallDone> Expired;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     for (auto &[Name, Queue] : ParkedFor)
       while (!Queue.empty() && Queue.front().Deadline <= Now) {
         if (Queue.front().Done)
@@ -372,7 +372,7 @@
   }
   MembershipActions Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Actions = Members.received(std::get<GossipMessage>(Decoded), Now);
   }
   perform(std::move(Actions));
@@ -380,7 +380,7 @@
 
 IssuerStanding FleetService::standingOf(const Ticket &T) const {
   IssuerStanding Standing;
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   const DepartureNotice *Departed =
       Members.notices().departure(T.Issuer, T.Incarnation);
   if (Departed != nullptr)
@@ -393,17 +393,17 @@
 }
 
 std::optional<std::size_t> FleetService::rankOf(const std::string &Duty) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Members.rankOf(Duty);
 }
 
 std::vector<std::string> FleetService::successors(std::size_t Count) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Members.successorsFor(SuccessorDuty, Count);
 }
 
 std::vector<MemberRecord> FleetService::members() const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   std::vector<MemberRecord> All{Members.self()};
   for (const auto &[Name, Entry] : Members.members().entries())
     if (Name != Members.self().Name)
@@ -412,12 +412,12 @@
 }
 
 std::string FleetService::self() const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Members.self().Name;
 }
 
 std::string FleetService::address() const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Members.self().Address;
 }
 
--- a/src/daemon/FleetService.h
+++ b/src/daemon/FleetService.h
@@ -3,12 +3,12 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
-#include "absl/synchronization/mutex.h"
 #include "core/command/IssuerStanding.h"
 #include "core/membership/Membership.h"
 #include "daemon/FleetHandlers.h"
 #include "daemon/PeerCalls.h"
 #include "quetzallead/Error.h"
+#include "quetzallead/PosixMutex.h"
 #include "runtime/TimerService.h"
 #include "transport/http/HttpMessage.h"
 #include "transport/peer/PeerTransport.h"
@@ -95,7 +95,7 @@
   const FleetHandlers Handlers;
   const std::vector<std::string> Seeds;
   const std::string Listen;
-  mutable absl::Mutex Mutex;
+  mutable PosixMutex Mutex;
   Membership Members ABSL_GUARDED_BY(Mutex);
   absl::flat_hash_map<std::string, PeerId> LinkOf ABSL_GUARDED_BY(Mutex);
   absl::flat_hash_map<PeerId, std::string> NameOf ABSL_GUARDED_BY(Mutex);
--- a/src/daemon/HealthProber.cpp
+++ b/src/daemon/HealthProber.cpp
@@ -7,7 +7,7 @@
 
 namespace quetzallead {
 
-static constexpr Duration ProbePeriod = absl::Seconds(2);
+static constexpr Duration ProbePeriod = absl::Seconds(1);
 static constexpr Duration ProbeTimeout = absl::Milliseconds(500);
 /// Instances of each zone that probe one server.
 static constexpr std::size_t ProbersPerZone = 1;
@@ -27,7 +27,10 @@
   for (const auto &[Name, Service] : Directory.view()->Services)
     for (const auto &Set : Service->Shards)
       for (std::size_t R = 0; R < Set->size(); ++R) {
-        LeavingCause Cause = Set->belief(R).Leaving;
+        ServerBelief Belief = Set->belief(R);
+        if (Belief.NeedsProbe && !Set->removed(R))
+          probeReachable(Set, R);
+        LeavingCause Cause = Belief.Leaving;
         bool MayReturn =
             Cause == LeavingCause::DrainReply || Cause == LeavingCause::Peer;
         if (!MayReturn || Set->removed(R))
@@ -39,6 +42,20 @@
       }
 }
 
+void HealthProber::probeReachable(const std::shared_ptr<ReplicaSet> &Set,
+                                  std::size_t Replica) {
+  HttpCall Call;
+  Call.Address = Set->spec(Replica).Address;
+  Call.Target = "/health";
+  Call.Timeout = ProbeTimeout;
+  Client.start(std::move(Call), [this, Set, Replica](const HttpOutcome &Got) {
+    if (Got.Failure == TransferFailure::None)
+      Set->noteReachable(Replica, Timers.now());
+    else if (Got.Failure == TransferFailure::NotSent)
+      Set->noteUnreachable(Replica, Timers.now());
+  });
+}
+
 void HealthProber::probe(const std::string &Server,
                          const std::string &Address) {
   HttpCall Call;
--- a/src/daemon/HealthProber.h
+++ b/src/daemon/HealthProber.h
@@ -2,6 +2,7 @@
 #define QUETZALLEAD_DAEMON_HEALTHPROBER_H
 
 #include "runtime/TimerService.h"
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -10,11 +11,12 @@
 class ClusterDirectory;
 class FleetService;
 class HttpClient;
+class ReplicaSet;
 struct HttpOutcome;
 
-/// Asks backend servers that said they were draining for their health, so that
-/// those which came back are used again. Health reports decide nothing else:
-/// outcomes of requests count for more.
+/// Asks backend servers that said they were draining, or that could not be
+/// reached, for their health, so that those which came back are used again.
+/// Health reports decide nothing else: outcomes of requests count for more.
 class HealthProber {
 public:
   HealthProber(ClusterDirectory &Directory, HttpClient &Client,
@@ -26,6 +28,9 @@
 
 private:
   void probeAll();
+  /// A probe by this instance itself: what it cannot reach others may.
+  void probeReachable(const std::shared_ptr<ReplicaSet> &Set,
+                      std::size_t Replica);
   void probe(const std::string &Server, const std::string &Address);
   void onHealth(const std::string &Server, const HttpOutcome &Outcome);
 
--- a/src/daemon/ListService.cpp
+++ b/src/daemon/ListService.cpp
@@ -35,7 +35,7 @@
 
 void ListService::leave() {
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Leaving = true;
     Enlisted = false;
   }
@@ -53,7 +53,7 @@
   bool Watch = false;
   std::optional<std::size_t> Rank = Fleet->rankOf(WatchDuty);
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Enlist = !Enlisted && !EnlistPending;
     Read = !ReadPending && Now >= NextRead;
     bool WasOnDuty = OnDuty;
@@ -80,13 +80,13 @@
   Entry.Address = Fleet->address();
   Entry.Zone = Options.Zone;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Entry.Leaving = Leaving;
     EnlistPending = true;
   }
   bool SaidLeaving = Entry.Leaving;
   Platform.enlist(InstanceList, Entry, [=](const WriteReply &Reply) {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     EnlistPending = false;
     Enlisted = Reply.Outcome == WriteOutcome::Applied && SaidLeaving == Leaving;
   });
@@ -107,7 +107,7 @@
         ListedInstance{Entry.Node, Entry.Address, Entry.Zone, Entry.Leaving});
   }
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     ReadPending = false;
     Duration Period = OnDuty ? DutyReadPeriod : ReadPeriod;
     NextRead = Timers.now() + (Answered ? Period : RetryPeriod);
@@ -121,7 +121,7 @@
 void ListService::watchServers() {
   std::uint64_t Index = 0;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Index = WatchIndex;
   }
   auto Done = [this](const CatalogReply &Reply) { onServers(Reply); };
@@ -136,7 +136,7 @@
   std::vector<std::string> Back;
   TimePoint Now = Timers.now();
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     WatchPending = false;
     if (Reply.Outcome != ReadOutcome::Answered) {
       NextWatch = Now + RetryPeriod;
--- a/src/daemon/ListService.h
+++ b/src/daemon/ListService.h
@@ -3,7 +3,7 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_set.h"
-#include "absl/synchronization/mutex.h"
+#include "quetzallead/PosixMutex.h"
 #include "runtime/TimerService.h"
 #include <cstdint>
 #include <memory>
@@ -45,7 +45,7 @@
   PlatformClient &Platform;
   TimerService &Timers;
   FleetService *Fleet = nullptr;
-  absl::Mutex Mutex;
+  PosixMutex Mutex;
   bool Leaving ABSL_GUARDED_BY(Mutex) = false;
   bool Enlisted ABSL_GUARDED_BY(Mutex) = false;
   bool EnlistPending ABSL_GUARDED_BY(Mutex) = false;
--- a/src/daemon/QuerySession.cpp
+++ b/src/daemon/QuerySession.cpp
@@ -33,7 +33,7 @@
       new QuerySession(Env, std::move(Job), std::move(OnDone)));
   TimePoint Now = Env.Timers.now();
   Session->dispatch(Now, [Now, &Session](Survey &S, SurveyActions &Out) {
-    Session->Mutex.AssertHeld();
+    Session->Mutex.assertHeld();
     Session->beginTrace();
     S.start(Now, Out);
   });
@@ -46,7 +46,7 @@
 void QuerySession::onPermit(std::size_t Part, std::size_t Replica,
                             TimePoint Now) {
   dispatch(Now, [=](Survey &S, SurveyActions &Out) {
-    Mutex.AssertHeld();
+    Mutex.assertHeld();
     TraceEvent Traced;
     Traced.Kind = TraceEventKind::Permit;
     Traced.Part = Part;
@@ -63,7 +63,7 @@
   // Ended without the lock, since its callback may be waiting for it.
   std::shared_ptr<TimerService::Subscription> OldTimer;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     SurveyActions Out;
     Feed(Query, Out);
     perform(std::move(Out), Now, Grants);
@@ -142,6 +142,8 @@
     Waits[Ask.Part] = P.WaitId;
     return;
   case PermitOutcome::Refused:
+    if (P.Reason == MissingReason::OtherVersion)
+      learnHeld(Ask.Part, Now);
     Traced.Kind = TraceEventKind::Refused;
     trace(std::move(Traced), Now);
     Query.onRefused(Ask.Part, P.Reason, P.RetryAfter, Now, Next);
@@ -149,6 +151,17 @@
   }
 }
 
+void QuerySession::learnHeld(std::size_t Part, TimePoint Now) {
+  ReplicaMask Removed = 0;
+  std::vector<HeldVersions> Held = set(Part).heldVersions(Removed);
+  TraceEvent Traced;
+  Traced.Kind = TraceEventKind::Held;
+  Traced.Part = Part;
+  Traced.HeldByReplica = Held;
+  trace(std::move(Traced), Now);
+  Query.learnHeld(Part, Held);
+}
+
 void QuerySession::giveBack(std::size_t Part, std::size_t Replica,
                             TimePoint Now, std::vector<PermitGrant> &Grants) {
   std::vector<PermitGrant> More =
@@ -241,7 +254,7 @@
   std::size_t Part = 0;
   std::size_t Replica = 0;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     const LiveAttempt &A = Attempts[Attempt];
     Id = A.Id;
     Part = A.Part;
@@ -257,13 +270,15 @@
     Report.Held = Reply.Held;
   if (Reply.Result == AttemptResult::Answered) {
     const Snapshot &Taken = Reply.Reply.Taken;
-    Report.Held = HeldVersions{Taken.Epoch, Taken.Version, Taken.Version};
+    Report.Held = Reply.Reply.Held;
+    if (!Report.Held->known())
+      Report.Held = HeldVersions{Taken.Epoch, Taken.Version, Taken.Version};
     Job.Service->Stats->Latencies.record(Outcome.Elapsed, Now);
   }
   std::vector<PermitGrant> Grants = set(Part).release(Replica, Report, Now);
   reportServerEvent(Env, set(Part), Replica, Reply.Result);
   dispatch(Now, [&](Survey &S, SurveyActions &Out) {
-    Mutex.AssertHeld();
+    Mutex.assertHeld();
     --LiveCount;
     record(Attempts[Attempt], Reply, Outcome.Elapsed);
     TraceEvent Traced;
@@ -306,7 +321,7 @@
   auto Self = shared_from_this();
   Timer = Env.Timers.at(Next, [Self](TimePoint Now) {
     Self->dispatch(Now, [Self, Now](Survey &S, SurveyActions &Out) {
-      Self->Mutex.AssertHeld();
+      Self->Mutex.assertHeld();
       Self->trace(TraceEvent(), Now);
       S.onTimer(Now, Out);
     });
@@ -324,7 +339,7 @@
   Duration Shift = Job.Context.Received - absl::UnixEpoch();
   Trace->Plan.Deadline -= Shift;
   Trace->Plan.CoverageDeadline -= Shift;
-  Trace->Budget = Job.Service->Stats->Budget.available();
+  Trace->Budget = Job.Service->Stats->Budget.available(Env.Timers.now());
 }
 
 void QuerySession::trace(TraceEvent Traced, TimePoint Now) {
--- a/src/daemon/QuerySession.h
+++ b/src/daemon/QuerySession.h
@@ -2,13 +2,13 @@
 #define QUETZALLEAD_DAEMON_QUERYSESSION_H
 
 #include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
 #include "daemon/BackendCodec.h"
 #include "daemon/DecisionRecord.h"
 #include "daemon/QueryEnvironment.h"
 #include "daemon/QueryOutcome.h"
 #include "daemon/RequestContext.h"
 #include "daemon/ServiceView.h"
+#include "quetzallead/PosixMutex.h"
 #include "quetzallead/Survey.h"
 #include "quetzallead/SurveyTrace.h"
 #include "runtime/TimerService.h"
@@ -80,6 +80,9 @@
   std::shared_ptr<TimerService::Subscription> rearm()
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void closeRecord() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  /// Tells the survey what the replica set believes of its replicas.
+  void learnHeld(std::size_t Part, TimePoint Now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void beginTrace() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   /// Appends \p Traced, at \p Now, to the trace if there is one.
   void trace(TraceEvent Traced, TimePoint Now)
@@ -90,7 +93,7 @@
 
   QueryEnvironment &Env;
   const QueryJob Job;
-  absl::Mutex Mutex;
+  PosixMutex Mutex;
   Survey Query ABSL_GUARDED_BY(Mutex);
   std::vector<LiveAttempt> Attempts ABSL_GUARDED_BY(Mutex);
   /// Place in the queue of each part; 0 if it does not wait.
--- a/src/daemon/SessionService.cpp
+++ b/src/daemon/SessionService.cpp
@@ -15,7 +15,7 @@
 
 Result<SessionToken> SessionService::open(const std::string &Caller,
                                           TimePoint Now) {
-  absl::MutexLock Lock(&EngineMutex);
+  PosixMutexLock Lock(&EngineMutex);
   return openSession(Caller, Now, SessionLifetime, Engine);
 }
 
--- a/src/daemon/SessionService.h
+++ b/src/daemon/SessionService.h
@@ -2,11 +2,11 @@
 #define QUETZALLEAD_DAEMON_SESSIONSERVICE_H
 
 #include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
 #include "core/session/KeyRing.h"
 #include "core/session/SessionToken.h"
 #include "daemon/RcuCell.h"
 #include "quetzallead/Error.h"
+#include "quetzallead/PosixMutex.h"
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -37,7 +37,7 @@
 
 private:
   RcuCell<KeyRing> Keys;
-  absl::Mutex EngineMutex;
+  PosixMutex EngineMutex;
   std::mt19937_64 Engine ABSL_GUARDED_BY(EngineMutex);
 };
 
--- a/src/daemon/SheetService.cpp
+++ b/src/daemon/SheetService.cpp
@@ -53,7 +53,7 @@
   bool DutyChanged = false;
   bool Due = false;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     DutyChanged = ShouldWatch != Watching;
     Watching = ShouldWatch;
     Due = Store.nextWakeUp() <= Now;
@@ -67,7 +67,7 @@
 void SheetService::step(const SheetEvent &Event) {
   std::vector<SheetAction> Actions;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Actions = Store.step(Event, Timers.now());
   }
   for (const SheetAction &Action : Actions)
@@ -177,7 +177,7 @@
 void SheetService::perform(const SheetAction::Publish &Action) {
   const SheetDocument &Document = *Action.Document;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Recent.push_back(Action.Document);
     if (Recent.size() > RecentDocuments)
       Recent.pop_front();
@@ -208,7 +208,7 @@
 void SheetService::perform(const SheetAction::Answer &Action) {
   HttpServer::Responder Respond;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     auto It = Waiting.find(Action.Request);
     if (It == Waiting.end())
       return;
@@ -251,7 +251,7 @@
   }
   std::uint64_t Request = 0;
   {
-    absl::MutexLock Lock(&Mutex);
+    PosixMutexLock Lock(&Mutex);
     Request = NextRequest++;
     Waiting.emplace(Request, Respond);
   }
@@ -260,13 +260,13 @@
 }
 
 std::shared_ptr<const SheetDocument> SheetService::inForce() const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   return Store.inForce();
 }
 
 std::shared_ptr<const SheetDocument>
 SheetService::recent(std::uint64_t Revision) const {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   for (const auto &Document : Recent)
     if (Document->Revision == Revision)
       return Document;
--- a/src/daemon/SheetService.h
+++ b/src/daemon/SheetService.h
@@ -3,8 +3,8 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
-#include "absl/synchronization/mutex.h"
 #include "daemon/PeerCalls.h"
+#include "quetzallead/PosixMutex.h"
 #include "quetzallead/SheetAction.h"
 #include "quetzallead/SheetEvent.h"
 #include "quetzallead/SheetStore.h"
@@ -67,7 +67,7 @@
   PlatformClient &Platform;
   TimerService &Timers;
   FleetService *Fleet = nullptr;
-  mutable absl::Mutex Mutex;
+  mutable PosixMutex Mutex;
   SheetStore Store ABSL_GUARDED_BY(Mutex);
   /// Documents in force before, newest last; patches for peers start here.
   std::deque<std::shared_ptr<const SheetDocument>>
--- a/src/daemon/TraceFile.cpp
+++ b/src/daemon/TraceFile.cpp
@@ -14,7 +14,7 @@
 }
 
 void TraceFile::write(const std::string &Line) {
-  absl::MutexLock Lock(&Mutex);
+  PosixMutexLock Lock(&Mutex);
   Out << Line << '\n';
   Out.flush();
 }
--- a/src/daemon/TraceFile.h
+++ b/src/daemon/TraceFile.h
@@ -2,7 +2,7 @@
 #define QUETZALLEAD_DAEMON_TRACEFILE_H
 
 #include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
+#include "quetzallead/PosixMutex.h"
 #include <atomic>
 #include <cstdint>
 #include <fstream>
@@ -24,7 +24,7 @@
   const bool Enabled;
   const std::uint64_t Every;
   std::atomic<std::uint64_t> Counter{0};
-  absl::Mutex Mutex;
+  PosixMutex Mutex;
   std::ofstream Out ABSL_GUARDED_BY(Mutex);
 };
 
--- a/tests/daemon/KeyReloaderTest.cpp
+++ b/tests/daemon/KeyReloaderTest.cpp
@@ -1,7 +1,8 @@
 #include "daemon/KeyReloader.h"
-#include "absl/synchronization/notification.h"
+#include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <future>
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -40,16 +41,15 @@
   SecretsFile File;
   File.write("k1");
   auto Timers = TimerService::make();
-  absl::Notification Reloaded;
-  bool HasNewKey = false;
+  std::promise<bool> Reloaded;
   KeyReloader Reloader(File.Path, *Timers,
                        [&](const std::shared_ptr<const KeyRing> &Ring) {
-                         HasNewKey = Ring->find("k2") != nullptr;
-                         if (!Reloaded.HasBeenNotified())
-                           Reloaded.Notify();
+                         Reloaded.set_value(Ring->find("k2") != nullptr);
                        });
   File.writeGarbage();
   File.write("k2");
-  ASSERT_TRUE(Reloaded.WaitForNotificationWithTimeout(absl::Seconds(60)));
-  EXPECT_TRUE(HasNewKey);
+  std::future<bool> HasNewKey = Reloaded.get_future();
+  ASSERT_EQ(HasNewKey.wait_for(std::chrono::seconds(60)),
+            std::future_status::ready);
+  EXPECT_TRUE(HasNewKey.get());
 }
--- a/tests/load/TierCallerTest.cpp
+++ b/tests/load/TierCallerTest.cpp
@@ -33,17 +33,17 @@
     return absl::StrCat("127.0.0.1:", Server->port());
   }
   std::vector<std::string> tokens() const {
-    absl::MutexLock Guard(&Lock);
+    PosixMutexLock Guard(&Lock);
     return Tokens;
   }
   std::vector<std::string> tickets() const {
-    absl::MutexLock Guard(&Lock);
+    PosixMutexLock Guard(&Lock);
     return Tickets;
   }
 
 private:
   HttpResponse answer(const HttpRequest &Request) {
-    absl::MutexLock Guard(&Lock);
+    PosixMutexLock Guard(&Lock);
     HttpResponse Response;
     const std::string Id = absl::StrCat("r", ++Count);
     Response.Headers.add("X-Request-Id", Id);
@@ -69,7 +69,7 @@
     return Response;
   }
 
-  mutable absl::Mutex Lock;
+  mutable PosixMutex Lock;
   int Count ABSL_GUARDED_BY(Lock) = 0;
   std::vector<std::string> Tokens ABSL_GUARDED_BY(Lock);
   std::vector<std::string> Tickets ABSL_GUARDED_BY(Lock);
--- a/tests/promise/NotRunTest.cpp
+++ b/tests/promise/NotRunTest.cpp
@@ -1,6 +1,6 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/strings/str_cat.h"
-#include "absl/synchronization/mutex.h"
+#include "quetzallead/PosixMutex.h"
 #include "support/CallerAnswer.h"
 #include "support/FakeProcess.h"
 #include "support/JournalView.h"
@@ -51,7 +51,7 @@
     Told Note;
     Note.Fault = Fault;
     {
-      const absl::MutexLock Held(&Lock);
+      const PosixMutexLock Held(&Lock);
       Note.Command = {{"n", ++Commands}};
     }
     Note.Answer = toCallerAnswer(Fleet.ask(
@@ -68,7 +68,7 @@
   }
 
   void note(Told Note) {
-    const absl::MutexLock Held(&Lock);
+    const PosixMutexLock Held(&Lock);
     Notes.push_back(std::move(Note));
   }
 
@@ -111,13 +111,13 @@
     settle();
     const json Page = Fleet.backend().get("/journal");
     ASSERT_EQ(Page["dropped"], 0);
-    const absl::MutexLock Held(&Lock);
+    const PosixMutexLock Held(&Lock);
     for (const Told &Note : Notes)
       expectTruth(Note, Page["entries"]);
   }
 
   int told(const std::string &RunState) {
-    const absl::MutexLock Held(&Lock);
+    const PosixMutexLock Held(&Lock);
     return static_cast<int>(
         std::count_if(Notes.begin(), Notes.end(), [&](const Told &Note) {
           return Note.Answer.RunState == RunState;
@@ -125,7 +125,7 @@
   }
 
   TestFleet Fleet;
-  absl::Mutex Lock;
+  PosixMutex Lock;
   int Commands ABSL_GUARDED_BY(Lock) = 0;
   std::vector<Told> Notes ABSL_GUARDED_BY(Lock);
 };
--- a/tests/promise/OwnAnswerTest.cpp
+++ b/tests/promise/OwnAnswerTest.cpp
@@ -1,6 +1,6 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/strings/str_cat.h"
-#include "absl/synchronization/mutex.h"
+#include "quetzallead/PosixMutex.h"
 #include "support/CallerAnswer.h"
 #include "support/FakeProcess.h"
 #include "support/RunThreads.h"
@@ -68,7 +68,7 @@
   void noteId(const CallerAnswer &Answer) {
     if (Answer.Status == 0)
       return;
-    const absl::MutexLock Held(&Lock);
+    const PosixMutexLock Held(&Lock);
     EXPECT_FALSE(Answer.RequestId.empty());
     EXPECT_TRUE(Ids.insert(Answer.RequestId).second) << "an id came twice";
   }
@@ -101,7 +101,7 @@
   }
 
   TestFleet Fleet;
-  absl::Mutex Lock;
+  PosixMutex Lock;
   std::set<std::string> Ids ABSL_GUARDED_BY(Lock);
 };
 
--- a/tests/promise/SnapshotTest.cpp
+++ b/tests/promise/SnapshotTest.cpp
@@ -125,6 +125,20 @@
   RecordProperty("complete", Complete);
 }
 
+TEST_F(Snapshot, IsCompleteWhenEachReplicaKeepsTwoVersions) {
+  hold("*", 10, 11);
+  surveyDuring([this] {
+    letAnswersCome(10);
+    for (int Version = 12; Version <= 15; ++Version)
+      for (int Shard = 0; Shard < 3; ++Shard)
+        for (const char *Zone : {"a", "b"}) {
+          hold(absl::StrCat("s", Shard, "-", Zone), Version - 1, Version);
+          letAnswersCome(3);
+        }
+  });
+  EXPECT_EQ(Complete, Asked) << "some version was held by all at all times";
+}
+
 TEST_F(Snapshot, IsOneWithAStragglerThatHoldsAnOlderVersion) {
   EXPECT_TRUE(Fleet.backend().setFaults("s1-a", {{"service_time_ms", 100}}));
   surveyDuring([this] {
--- a/tests/promise/TwoFaultsTest.cpp
+++ b/tests/promise/TwoFaultsTest.cpp
@@ -1,7 +1,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
+#include "quetzallead/PosixMutex.h"
 #include "support/ChildProcess.h"
 #include "support/CommandCaller.h"
 #include "support/CoverageCheck.h"
@@ -226,7 +226,7 @@
   }
 
   void note(const TestSheetChange &Change, const SheetVerdict &Told) {
-    const absl::MutexLock Held(&Lock);
+    const PosixMutexLock Held(&Lock);
     if (Told.Outcome == "accepted") {
       Accepted.push_back(Change.Id);
       Highest = std::max(Highest, Told.Revision);
@@ -263,7 +263,7 @@
       EXPECT_TRUE(Fleet.waitReady(Index)) << Fleet.logs();
     EXPECT_TRUE(waitIdle(Fleet));
     EXPECT_THAT(Callers.contradictions(), testing::IsEmpty());
-    const absl::MutexLock Held(&Lock);
+    const PosixMutexLock Held(&Lock);
     for (std::size_t Index = 0; Index < Fleet.size(); ++Index) {
       EXPECT_TRUE(waitUntil([&] {
         return Operator.revisionAt(Index) >= Highest;
@@ -288,7 +288,7 @@
   std::atomic<bool> Stop{false};
   std::atomic<int> Answered{0};
   std::atomic<int> Newest{10};
-  absl::Mutex Lock;
+  PosixMutex Lock;
   std::deque<std::string> Accepted ABSL_GUARDED_BY(Lock);
   std::vector<std::string> Refused ABSL_GUARDED_BY(Lock);
   std::uint64_t Highest ABSL_GUARDED_BY(Lock) = 0;
--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -60,16 +60,16 @@
 }
 
 std::string ChildProcess::output() const {
-  const absl::MutexLock Held(&Lock);
+  const PosixMutexLock Held(&Lock);
   return Captured;
 }
 
 bool ChildProcess::waitForOutput(absl::string_view Text, Duration Limit) {
-  const absl::MutexLock Held(&Lock);
-  const auto Decided = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Lock) {
+  std::unique_lock<std::mutex> Held(Lock.native());
+  const Duration Bounded = std::min(Limit, absl::Hours(1));
+  OutputGrew.wait_for(Held, absl::ToChronoNanoseconds(Bounded), [&] {
     return OutputClosed || absl::StrContains(Captured, Text);
-  };
-  Lock.AwaitWithTimeout(absl::Condition(&Decided), Limit);
+  });
   return absl::StrContains(Captured, Text);
 }
 
@@ -116,12 +116,14 @@
     const ssize_t Count = read(OutputFd, Buffer, sizeof(Buffer));
     if (Count < 0 && errno == EINTR)
       continue;
-    const absl::MutexLock Held(&Lock);
+    const PosixMutexLock Held(&Lock);
     if (Count <= 0) {
       OutputClosed = true;
+      OutputGrew.notify_all();
       return;
     }
     Captured.append(Buffer, static_cast<std::size_t>(Count));
+    OutputGrew.notify_all();
   }
 }
 
--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -3,8 +3,9 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/strings/string_view.h"
-#include "absl/synchronization/mutex.h"
+#include "quetzallead/PosixMutex.h"
 #include "quetzallead/Time.h"
+#include <condition_variable>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,9 +49,10 @@
   const pid_t Pid;
   const int OutputFd;
   std::optional<int> ExitCode;
-  mutable absl::Mutex Lock;
+  mutable PosixMutex Lock;
   std::string Captured ABSL_GUARDED_BY(Lock);
   bool OutputClosed ABSL_GUARDED_BY(Lock) = false;
+  std::condition_variable OutputGrew;
   std::thread Reader;
 };
 
--- a/tests/support/CommandCaller.cpp
+++ b/tests/support/CommandCaller.cpp
@@ -33,7 +33,7 @@
   TicketedCommand Command;
   Command.Ticket = Fleet.ticket(Index);
   Command.Shard = Shard;
-  const absl::MutexLock Held(&Lock);
+  const PosixMutexLock Held(&Lock);
   Command.Content = {{"n", ++Made}};
   return Command;
 }
@@ -45,7 +45,7 @@
   const json Body = {{"key", testKey(Command.Shard)},
                      {"command", Command.Content}};
   std::string Word = wordOf(Fleet.ask(Index, "command", Body, Headers));
-  const absl::MutexLock Held(&Lock);
+  const PosixMutexLock Held(&Lock);
   Notes.push_back({Command.Content, Word});
   return Word;
 }
@@ -62,7 +62,7 @@
     return {"the journal is not whole"};
   std::map<json, int> Begun = begunByContent(Page["entries"]);
   std::vector<std::string> Found;
-  const absl::MutexLock Held(&Lock);
+  const PosixMutexLock Held(&Lock);
   for (const auto &[Content, Count] : Begun)
     if (Count > 1)
       Found.push_back(absl::StrCat(Content.dump(), " began ", Count, " times"));
@@ -79,7 +79,7 @@
 
 std::map<std::string, int> CommandCaller::words() const {
   std::map<std::string, int> Counts;
-  const absl::MutexLock Held(&Lock);
+  const PosixMutexLock Held(&Lock);
   for (const Told &Note : Notes)
     ++Counts[Note.Word];
   return Counts;
--- a/tests/support/CommandCaller.h
+++ b/tests/support/CommandCaller.h
@@ -2,7 +2,7 @@
 #define QUETZALLEAD_TESTS_SUPPORT_COMMANDCALLER_H
 
 #include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
+#include "quetzallead/PosixMutex.h"
 #include <cstddef>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -50,7 +50,7 @@
   };
 
   TestFleet &Fleet;
-  mutable absl::Mutex Lock;
+  mutable PosixMutex Lock;
   int Made ABSL_GUARDED_BY(Lock) = 0;
   std::vector<Told> Notes ABSL_GUARDED_BY(Lock);
 };
--- a/tools/fakes/FakeBackendServer.cpp
+++ b/tools/fakes/FakeBackendServer.cpp
@@ -373,6 +373,8 @@
                          Try.Version};
   json Result = {{"epoch", Try.Entry->Epoch},
                  {"version", Try.Version},
+                 {"oldest", Faults.Oldest},
+                 {"newest", Faults.Newest},
                  {"from", Options.From},
                  {"to", Options.To}};
   const json Merge = Try.Body.value("merge", json());
--- a/tools/load/AnswerChecker.cpp
+++ b/tools/load/AnswerChecker.cpp
@@ -123,7 +123,7 @@
 } // namespace
 
 bool AnswerChecker::firstSight(const std::string &RequestId) {
-  absl::MutexLock Guard(&Lock);
+  PosixMutexLock Guard(&Lock);
   return Ids.insert(RequestId).second;
 }
 
--- a/tools/load/AnswerChecker.h
+++ b/tools/load/AnswerChecker.h
@@ -2,8 +2,8 @@
 #define QUETZALLEAD_LOAD_ANSWERCHECKER_H
 
 #include "absl/container/flat_hash_set.h"
-#include "absl/synchronization/mutex.h"
 #include "load/AnswerFault.h"
+#include "quetzallead/PosixMutex.h"
 #include <cstdint>
 #include <string>
 
@@ -32,7 +32,7 @@
 private:
   bool firstSight(const std::string &RequestId);
 
-  absl::Mutex Lock;
+  PosixMutex Lock;
   absl::flat_hash_set<std::string> Ids ABSL_GUARDED_BY(Lock);
 };
 
--- a/tools/load/DirectCaller.cpp
+++ b/tools/load/DirectCaller.cpp
@@ -47,14 +47,14 @@
   std::uint64_t Draw = 0;
   TimePoint Intended;
   RecordSink Sink;
-  absl::Mutex Lock;
+  PosixMutex Lock;
   int Waiting ABSL_GUARDED_BY(Lock) = 0;
   int WorstStatus ABSL_GUARDED_BY(Lock) = 200;
   LoadRecord Record ABSL_GUARDED_BY(Lock);
 
   /// Takes in one part's status; true if it was the last.
   bool finishPart(int Status) {
-    absl::MutexLock Guard(&Lock);
+    PosixMutexLock Guard(&Lock);
     if (Status == 200)
       ++Record.CoverageCovered;
     else
@@ -112,7 +112,7 @@
   Record.CoverageWanted = static_cast<int>(Shards.size());
   Request->Sink = std::move(Sink);
   {
-    absl::MutexLock Guard(&Request->Lock);
+    PosixMutexLock Guard(&Request->Lock);
     Request->Record = std::move(Record);
     Request->Waiting = static_cast<int>(Shards.size());
   }
@@ -145,7 +145,7 @@
                  const bool Whole = Outcome.Failure == TransferFailure::None;
                  if (!Request->finishPart(Whole ? Outcome.Response.Status : 0))
                    return;
-                 absl::MutexLock Guard(&Request->Lock);
+                 PosixMutexLock Guard(&Request->Lock);
                  Request->Record.Latency = Timer.now() - Request->Intended;
                  Request->Record.Status = Request->WorstStatus;
                  Request->Sink(std::move(Request->Record));
--- a/tools/load/LoadRunner.cpp
+++ b/tools/load/LoadRunner.cpp
@@ -1,6 +1,6 @@
 #include "load/LoadRunner.h"
-#include "absl/synchronization/blocking_counter.h"
 #include "load/Arrival.h"
+#include "load/CountDown.h"
 #include "runtime/TimerService.h"
 #include <memory>
 
@@ -10,7 +10,7 @@
                                 TimePoint Start, TimerService &Timer,
                                 const LoadSender &Send) {
   std::vector<LoadRecord> Records(Arrivals.size());
-  absl::BlockingCounter Waiting(static_cast<int>(Arrivals.size()));
+  CountDown Waiting(static_cast<int>(Arrivals.size()));
   std::vector<std::shared_ptr<TimerService::Subscription>> Timers;
   Timers.reserve(Arrivals.size());
   for (std::size_t I = 0; I < Arrivals.size(); ++I) {
@@ -18,14 +18,14 @@
     const TimePoint Intended = Start + Next.Offset;
     const RecordSink Sink = [&Records, &Waiting, I](LoadRecord Record) {
       Records[I] = std::move(Record);
-      Waiting.DecrementCount();
+      Waiting.decrement();
     };
     Timers.push_back(
         Timer.at(Intended, [&Next, &Send, Intended, Sink](TimePoint) {
           Send(Next, Intended, Sink);
         }));
   }
-  Waiting.Wait();
+  Waiting.wait();
   return Records;
 }
 
--- a/tools/load/ReplicaPicker.cpp
+++ b/tools/load/ReplicaPicker.cpp
@@ -5,7 +5,7 @@
 
 const BackendServerSpec &ReplicaPicker::pick(const ShardSpec &Shard,
                                              std::uint64_t Draw) {
-  absl::MutexLock Guard(&Lock);
+  PosixMutexLock Guard(&Lock);
   const std::size_t Count = Shard.Servers.size();
   const BackendServerSpec *Best = nullptr;
   int Least = 0;
@@ -22,7 +22,7 @@
 }
 
 void ReplicaPicker::done(const BackendServerSpec &Server) {
-  absl::MutexLock Guard(&Lock);
+  PosixMutexLock Guard(&Lock);
   --InFlight[Server.Name];
 }
 
--- a/tools/load/ReplicaPicker.h
+++ b/tools/load/ReplicaPicker.h
@@ -2,7 +2,7 @@
 #define QUETZALLEAD_LOAD_REPLICAPICKER_H
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/synchronization/mutex.h"
+#include "quetzallead/PosixMutex.h"
 #include <cstdint>
 #include <string>
 
@@ -22,7 +22,7 @@
   void done(const BackendServerSpec &Server);
 
 private:
-  absl::Mutex Lock;
+  PosixMutex Lock;
   absl::flat_hash_map<std::string, int> InFlight ABSL_GUARDED_BY(Lock);
 };
 
--- a/tools/load/SessionPool.cpp
+++ b/tools/load/SessionPool.cpp
@@ -4,7 +4,7 @@
 namespace quetzallead {
 
 CallerSession SessionPool::take(std::size_t Index, bool WithTicket) {
-  absl::MutexLock Guard(&Lock);
+  PosixMutexLock Guard(&Lock);
   CallerSession &Session = Sessions[Index];
   CallerSession Copy = Session;
   if (WithTicket)
@@ -15,7 +15,7 @@
 }
 
 void SessionPool::update(std::size_t Index, CallerSession Next) {
-  absl::MutexLock Guard(&Lock);
+  PosixMutexLock Guard(&Lock);
   CallerSession &Session = Sessions[Index];
   if (Next.Ticket.empty())
     Next.Ticket = std::move(Session.Ticket);
--- a/tools/load/SessionPool.h
+++ b/tools/load/SessionPool.h
@@ -1,8 +1,8 @@
 #ifndef QUETZALLEAD_LOAD_SESSIONPOOL_H
 #define QUETZALLEAD_LOAD_SESSIONPOOL_H
 
-#include "absl/synchronization/mutex.h"
 #include "load/CallerSession.h"
+#include "quetzallead/PosixMutex.h"
 #include <cstddef>
 #include <vector>
 
@@ -21,7 +21,7 @@
   std::size_t size() const { return Sessions.size(); }
 
 private:
-  absl::Mutex Lock;
+  PosixMutex Lock;
   std::vector<CallerSession> Sessions;
 };
 
--- a/tools/load/TierCaller.cpp
+++ b/tools/load/TierCaller.cpp
@@ -1,7 +1,7 @@
 #include "load/TierCaller.h"
 #include "absl/strings/str_cat.h"
-#include "absl/synchronization/blocking_counter.h"
 #include "load/Arrival.h"
+#include "load/CountDown.h"
 #include "load/LoadPlan.h"
 #include "load/LoadRecord.h"
 #include "runtime/TimerService.h"
@@ -90,7 +90,7 @@
       Timer(Clock), Sessions(LoadToSend.Sessions) {}
 
 std::size_t TierCaller::openSessions() {
-  absl::BlockingCounter Waiting(static_cast<int>(Sessions.size()));
+  CountDown Waiting(static_cast<int>(Sessions.size()));
   std::atomic<std::size_t> Opened{0};
   for (std::size_t I = 0; I < Sessions.size(); ++I) {
     HttpCall Call;
@@ -110,10 +110,10 @@
         Sessions.update(I, std::move(Session));
         ++Opened;
       }
-      Waiting.DecrementCount();
+      Waiting.decrement();
     });
   }
-  Waiting.Wait();
+  Waiting.wait();
   return Opened;
 }
 
