Ask again for a later sheet; leave the transport alone while it is destroyed

Change: instances with a later sheet are asked again every second; after the stop has begun nothing is sent.

--- a/src/daemon/FleetService.cpp
+++ b/src/daemon/FleetService.cpp
@@ -80,6 +80,9 @@
 }
 
 void FleetService::stop() {
+  // Links that close tell this object, which must not answer by the transport
+  // that is being taken apart.
+  Quiet = true;
   Ticker.reset();
   Transport.reset();
   std::vector<PeerCallDone> Abandoned;
@@ -206,6 +209,11 @@
 
 void FleetService::sendOrPark(const std::string &Name,
                               const std::string &Address, Parked Item) {
+  if (Quiet) {
+    if (Item.Done)
+      Item.Done(std::nullopt);
+    return;
+  }
   std::optional<PeerId> Id = linkTo(Name);
   if (Id)
     return transmit(*Id, std::move(Item));
@@ -300,6 +308,8 @@
 }
 
 void FleetService::onDisconnected(PeerId Id) {
+  if (Quiet)
+    return;
   MembershipActions Actions;
   {
     PosixMutexLock Lock(&Mutex);
@@ -319,6 +329,8 @@
 }
 
 void FleetService::onConnectFailed(const std::string &Address) {
+  if (Quiet)
+    return;
   MembershipActions Actions;
   std::vector<PeerCallDone> Failed;
   {
@@ -402,6 +414,20 @@
   return Members.successorsFor(SuccessorDuty, Count);
 }
 
+std::vector<MemberRecord>
+FleetService::withLaterSheet(std::uint64_t Revision, std::size_t Count) const {
+  std::vector<MemberRecord> Later;
+  PosixMutexLock Lock(&Mutex);
+  for (const auto &[Name, Entry] : Members.members().entries()) {
+    const MemberRecord &R = Entry.Record;
+    if (R.isPresent() && R.SheetRevision > Revision)
+      Later.push_back(R);
+    if (Later.size() >= Count)
+      break;
+  }
+  return Later;
+}
+
 std::vector<MemberRecord> FleetService::members() const {
   PosixMutexLock Lock(&Mutex);
   std::vector<MemberRecord> All{Members.self()};
--- a/src/daemon/FleetService.h
+++ b/src/daemon/FleetService.h
@@ -34,7 +34,7 @@
   /// Starts listening for peers and joining the fleet. Fails with Unavailable
   /// if the address cannot be bound.
   Result<void> start(const std::vector<std::string> &PeerKeys);
-  /// From now on what other instances say is ignored.
+  /// From now on what other instances say is ignored and nothing is sent.
   void quiesce() { Quiet = true; }
   /// Ends all links. Calls still open end without an answer.
   void stop();
@@ -58,6 +58,10 @@
   /// Rank among the live instances of this zone, from 0; none if leaving.
   std::optional<std::size_t> rankOf(const std::string &Duty) const;
   std::vector<std::string> successors(std::size_t Count) const;
+  /// Up to \p Count present instances that have a later sheet in force than
+  /// \p Revision.
+  std::vector<MemberRecord> withLaterSheet(std::uint64_t Revision,
+                                           std::size_t Count) const;
   /// This instance and all that it knows of.
   std::vector<MemberRecord> members() const;
   /// Name of this instance.
--- a/src/daemon/SheetService.cpp
+++ b/src/daemon/SheetService.cpp
@@ -20,6 +20,9 @@
 
 static constexpr Duration TickPeriod = absl::Milliseconds(50);
 static constexpr Duration FetchTimeout = absl::Seconds(1);
+/// Peers with a later sheet are asked again this often, as a fetch can be lost.
+static constexpr Duration ReminderPeriod = absl::Seconds(1);
+static constexpr std::size_t RemindedPeers = 3;
 /// Instances of each zone that watch the store: the first by rank, and one that
 /// already stands by when it goes.
 static constexpr std::size_t WatchersPerZone = 2;
@@ -62,6 +65,16 @@
     step(SheetEvent{SheetEvent::DutyChanged{ShouldWatch}});
   if (Due)
     step(SheetEvent{SheetEvent::Tick{}});
+  remindOfLaterSheets(Now);
+}
+
+void SheetService::remindOfLaterSheets(TimePoint Now) {
+  if (Now < NextReminder)
+    return;
+  NextReminder = Now + ReminderPeriod;
+  std::uint64_t Own = Directory.view()->Revision;
+  for (const MemberRecord &R : Fleet->withLaterSheet(Own, RemindedPeers))
+    onPeerRevision(R.Name, R.SheetRevision);
 }
 
 void SheetService::step(const SheetEvent &Event) {
--- a/src/daemon/SheetService.h
+++ b/src/daemon/SheetService.h
@@ -57,6 +57,7 @@
   void perform(const SheetAction::Notice &Action);
   void onFetched(const std::string &Peer, const nlohmann::json &Body);
   void tick(TimePoint Now);
+  void remindOfLaterSheets(TimePoint Now);
   void fetch(const std::string &Peer, std::uint64_t FromRevision);
   std::shared_ptr<const SheetDocument> inForce() const;
   /// A document that was in force here not long ago; null if none has
@@ -76,6 +77,8 @@
   std::uint64_t NextRequest ABSL_GUARDED_BY(Mutex) = 1;
   absl::flat_hash_map<std::uint64_t, HttpServer::Responder>
       Waiting ABSL_GUARDED_BY(Mutex);
+  /// Used by the timer alone.
+  TimePoint NextReminder = absl::InfinitePast();
   std::shared_ptr<TimerService::Subscription> Ticker;
 };
 
