Look for a better version once more before a survey ends with shards given up

Cause: a shard given up for its version was not looked at again when later replies showed a version that all shards hold. Before and after, as a test: a survey of two shards, one moved on twice, ended with one shard; it now moves to the version that both hold.

--- a/src/core/query/Survey.cpp
+++ b/src/core/query/Survey.cpp
@@ -478,6 +478,11 @@
     return;
   std::size_t Wanted = Parts.size();
   bool AllSettled = CoveredCount + FailedCount == Wanted;
+  // Replies that came after a part was given up may show a better version.
+  if (AllSettled && FailedCount > 0 && Now < Plan.Deadline) {
+    reconsiderTarget(Now, Out);
+    AllSettled = CoveredCount + FailedCount == Wanted;
+  }
   bool Enough = static_cast<double>(CoveredCount) >=
                 Plan.LeastCoverage * static_cast<double>(Wanted);
   bool EnoughInTime = Now >= Plan.CoverageDeadline && Enough;
--- a/tests/core/SurveyTest.cpp
+++ b/tests/core/SurveyTest.cpp
@@ -259,6 +259,34 @@
   checkAnswer(Driver, A);
 }
 
+TEST(SurveyTest, RepliesAfterAGivenUpPartShowABetterVersion) {
+  RetryBudget Budget(0.05);
+  SurveyPlan Plan;
+  Plan.Epoch = 1;
+  Plan.Deadline = Plan.CoverageDeadline = Start + absl::Seconds(1);
+  for (int Index = 0; Index < 2; ++Index)
+    Plan.Parts.push_back(PartPlan{
+        "s" + std::to_string(Index), "", "", {HeldVersions{1, 10, 11}}, 0});
+  Survey S(Plan, Budget);
+  SurveyActions Out;
+  S.start(Start, Out);
+  S.onPermit(0, 0, Start, Out);
+  S.onPermit(1, 0, Start, Out);
+  ASSERT_EQ(Out.Send[0].Version, 11u);
+  SurveyActions Given;
+  S.onFailure(Out.Send[0].Attempt, AttemptResult::WrongVersion,
+              HeldVersions{1, 12, 13}, Start, Given);
+  EXPECT_FALSE(S.finished());
+  SubReply Reply;
+  Reply.Taken = Snapshot{1, 11};
+  Reply.Held = HeldVersions{1, 11, 12};
+  SurveyActions Again;
+  S.onReply(Out.Send[1].Attempt, Reply, Start, Again);
+  EXPECT_FALSE(S.finished()) << "version 12 is held by both";
+  ASSERT_EQ(Again.Acquire.size(), 2u);
+  EXPECT_EQ(Again.Acquire[0].Version, 12u);
+}
+
 TEST(SurveyTest, OtherEpochIsMissingNotMixed) {
   SurveyDriver Driver(3, 2, 6);
   for (FakeReplica &R : Driver.Replicas[0])
