Tell queued requests that no replica can serve them any more

Ruled out: the servers (idle by their journals' answers), the choice of the version (the parts had asked). Change: when the queue is drained such a request is refused, with its reason.

--- a/bench/ReplicaSetBench.cpp
+++ b/bench/ReplicaSetBench.cpp
@@ -10,6 +10,7 @@
 class NullListener : public PermitListener {
 public:
   void onPermit(std::size_t, std::size_t, TimePoint) override {}
+  void onRefusal(std::size_t, MissingReason, TimePoint) override {}
 };
 
 ShardSpec shardOf(int Replicas) {
--- a/include/quetzallead/ReplicaSet.h
+++ b/include/quetzallead/ReplicaSet.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <pcg_random.hpp>
 #include <string>
 #include <vector>
@@ -28,6 +29,9 @@
   /// Replica \p Replica may be used for part \p Part.
   virtual void onPermit(std::size_t Part, std::size_t Replica,
                         TimePoint Now) = 0;
+  /// No replica may be used for part \p Part any more; it has left the queue.
+  virtual void onRefusal(std::size_t Part, MissingReason Reason,
+                         TimePoint Now) = 0;
 };
 
 /// Asks for a permit to send one attempt.
@@ -59,13 +63,21 @@
   Duration RetryAfter = absl::ZeroDuration();
 };
 
-/// A queued request whose turn has come; deliver() passes it on.
+/// A queued request whose turn has come, or that waits in vain; deliver()
+/// passes it on.
 struct PermitGrant {
   std::shared_ptr<PermitListener> Listener;
   std::size_t Part = 0;
   std::size_t Replica = 0;
-
-  void deliver(TimePoint Now) const { Listener->onPermit(Part, Replica, Now); }
+  /// Set if the request is refused after all.
+  std::optional<MissingReason> Refusal = std::nullopt;
+
+  void deliver(TimePoint Now) const {
+    if (Refusal)
+      Listener->onRefusal(Part, *Refusal, Now);
+    else
+      Listener->onPermit(Part, Replica, Now);
+  }
 };
 
 /// Limits that hold for every shard at one instance.
--- a/src/core/routing/ReplicaSet.cpp
+++ b/src/core/routing/ReplicaSet.cpp
@@ -335,6 +335,15 @@
     for (auto It = Queue.begin(); It != Queue.end();) {
       bool AnyAllowed = false;
       int Chosen = choose(It->Request, Now, AnyAllowed);
+      if (Chosen < 0 && !AnyAllowed) {
+        // What was learned meanwhile rules all replicas out.
+        MissingReason Reason = refusalReason(It->Request);
+        Grants.push_back(
+            PermitGrant{std::move(It->Listener), It->Request.Part, 0, Reason});
+        It = Queue.erase(It);
+        --Queued;
+        continue;
+      }
       if (Chosen < 0) {
         ++It;
         // Waiters of one level differ only in excluded replicas; a few are
@@ -346,7 +355,8 @@
       take(Servers[Chosen]);
       UrgentStreak = Level == 0 ? UrgentStreak + 1 : 0;
       Grants.push_back(PermitGrant{std::move(It->Listener), It->Request.Part,
-                                   static_cast<std::size_t>(Chosen)});
+                                   static_cast<std::size_t>(Chosen),
+                                   std::nullopt});
       It = Queue.erase(It);
       --Queued;
     }
--- a/src/daemon/CommandService.cpp
+++ b/src/daemon/CommandService.cpp
@@ -29,6 +29,9 @@
   void onPermit(std::size_t, std::size_t Granted, TimePoint Now) override {
     Owner.onPermit(shared_from_this(), Granted, Now);
   }
+  void onRefusal(std::size_t, MissingReason, TimePoint) override {
+    Owner.endWithoutReplica(shared_from_this());
+  }
 
   CommandService &Owner;
   const RunAttempt Action;
--- a/src/daemon/QuerySession.cpp
+++ b/src/daemon/QuerySession.cpp
@@ -56,6 +56,21 @@
   });
 }
 
+void QuerySession::onRefusal(std::size_t Part, MissingReason Reason,
+                             TimePoint Now) {
+  dispatch(Now, [=](Survey &S, SurveyActions &Out) {
+    Mutex.assertHeld();
+    if (Reason == MissingReason::OtherVersion)
+      learnHeld(Part, Now);
+    TraceEvent Traced;
+    Traced.Kind = TraceEventKind::Refused;
+    Traced.Part = Part;
+    Traced.Reason = Reason;
+    trace(std::move(Traced), Now);
+    S.onRefused(Part, Reason, absl::ZeroDuration(), Now, Out);
+  });
+}
+
 void QuerySession::dispatch(TimePoint Now, const Event &Feed) {
   std::vector<PermitGrant> Grants;
   Completion Done;
--- a/src/daemon/QuerySession.h
+++ b/src/daemon/QuerySession.h
@@ -42,6 +42,8 @@
   static void start(QueryEnvironment &Env, QueryJob Job, Completion OnDone);
 
   void onPermit(std::size_t Part, std::size_t Replica, TimePoint Now) override;
+  void onRefusal(std::size_t Part, MissingReason Reason,
+                 TimePoint Now) override;
 
 private:
   struct LiveAttempt {
--- a/tests/core/ReplicaSetTest.cpp
+++ b/tests/core/ReplicaSetTest.cpp
@@ -15,8 +15,12 @@
     Parts.push_back(Part);
     Replicas.push_back(Replica);
   }
+  void onRefusal(std::size_t, MissingReason Reason, TimePoint) override {
+    Refusals.push_back(Reason);
+  }
   std::vector<std::size_t> Parts;
   std::vector<std::size_t> Replicas;
+  std::vector<MissingReason> Refusals;
 };
 
 ShardSpec shardOf(int Replicas, int Connections = 25) {
@@ -185,6 +189,26 @@
   EXPECT_GT(P.RetryAfter, absl::ZeroDuration());
 }
 
+TEST(ReplicaSetTest, WaitersThatNoReplicaCanServeAnyMoreAreToldSo) {
+  ReplicaSet Set(shardOf(1, 2), optionsOf(RoutingPolicy::ExpectedCompletion), 9,
+                 Start);
+  auto Listener = std::make_shared<Recorder>();
+  TimePoint Now = Start + absl::Seconds(1);
+  PermitRequest Pinned;
+  Pinned.Version = 11;
+  ASSERT_EQ(Set.acquire(Pinned, Listener, Now).Outcome, PermitOutcome::Granted);
+  ASSERT_EQ(Set.acquire(Pinned, Listener, Now).Outcome, PermitOutcome::Queued);
+  PermitRequest Any;
+  ASSERT_EQ(Set.acquire(Any, Listener, Now).Outcome, PermitOutcome::Queued);
+  AttemptReport Report = failed(AttemptResult::WrongVersion);
+  Report.Held = HeldVersions{1, 12, 13};
+  for (const PermitGrant &Grant : Set.release(0, Report, Now))
+    Grant.deliver(Now);
+  ASSERT_EQ(Listener->Refusals.size(), 1u);
+  EXPECT_EQ(Listener->Refusals[0], MissingReason::OtherVersion);
+  EXPECT_EQ(Listener->Parts.size(), 1u) << "the one behind goes on";
+}
+
 TEST(ReplicaSetTest, QueueIsBounded) {
   ReplicaSetOptions Options = optionsOf(RoutingPolicy::ExpectedCompletion);
   Options.QueueLimit = 3;
@@ -221,7 +245,8 @@
       Held.pop_back();
       auto Result = static_cast<AttemptResult>(Engine() % 12);
       for (const PermitGrant &Grant : Set.release(Replica, failed(Result), Now))
-        Held.push_back(Grant.Replica);
+        if (!Grant.Refusal)
+          Held.push_back(Grant.Replica);
     }
     for (std::size_t Replica = 0; Replica < 3; ++Replica)
       RC_ASSERT(Set.belief(Replica).Outstanding <= Share);
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -13,5 +13,6 @@
   echo "Passing over the tests of KNOWN-RED.txt:"
   cat KNOWN-RED.txt
 fi
+export TSAN_OPTIONS="suppressions=$PWD/tests/tsan.supp"
 cd "build/$preset"
 ctest --output-on-failure -j 4 ${known_red:+-E "^($known_red)\$"} "$@"
