--- a/tests/promise/NotRunTest.cpp
+++ b/tests/promise/NotRunTest.cpp
@@ -80,7 +80,8 @@
                {"exchange", "none"},
                {"latency_ms", 0}});
     EXPECT_TRUE(waitUntil([this] {
-      for (const json &Server : Fleet.backend().get("/servers")["servers"])
+      const json Listed = Fleet.backend().get("/servers");
+      for (const json &Server : Listed["servers"])
         if (Server["load"]["busy"] != 0 || Server["load"]["queued"] != 0)
           return false;
       return true;
--- a/tests/support/CommandCaller.cpp
+++ b/tests/support/CommandCaller.cpp
@@ -87,7 +87,8 @@
 
 bool waitIdle(TestFleet &Fleet) {
   return waitUntil([&] {
-    for (const json &Server : Fleet.backend().get("/servers")["servers"])
+    const json Listed = Fleet.backend().get("/servers");
+    for (const json &Server : Listed["servers"])
       if (Server["load"]["busy"] != 0 || Server["load"]["queued"] != 0)
         return false;
     return true;
--- a/tools/fakes/FakeBackendServer.cpp
+++ b/tools/fakes/FakeBackendServer.cpp
@@ -371,12 +371,9 @@
 json Server::resultOf(const Attempt &Try) const {
   const FakeDataSet Data{Options.Service, Options.Shard, Options.From,
                          Try.Version};
-  json Result = {{"epoch", Try.Entry->Epoch},
-                 {"version", Try.Version},
-                 {"oldest", Faults.Oldest},
-                 {"newest", Faults.Newest},
-                 {"from", Options.From},
-                 {"to", Options.To}};
+  json Result = {{"epoch", Try.Entry->Epoch}, {"version", Try.Version},
+                 {"oldest", Faults.Oldest},   {"newest", Faults.Newest},
+                 {"from", Options.From},      {"to", Options.To}};
   const json Merge = Try.Body.value("merge", json());
   if (Try.Entry->Command || Merge == "lookup")
     Result["rows"] = json::array({fakeRow(Data, Try.Entry->Key)});
