Add a relay daemon for the users' platform: routes, surveys of records, discovery

One process with one event loop on Boost.Beast carries opaque requests to discovered backend servers. The decision core (routes, placing, budget of extra load, when a survey is answered) lies in src/core/relay, without sockets; names, formats and calls of the platform in platform/.

--- /dev/null
+++ b/src/core/relay/BackendPool.cpp
@@ -0,0 +1,283 @@
+#include "core/relay/BackendPool.h"
+#include <algorithm>
+#include <cmath>
+
+namespace quetzallead {
+
+/// Weight of a new sample in a server's slowness.
+static constexpr double SlownessWeight = 0.25;
+/// Slowness is kept within these bounds, so that one sample cannot rule a
+/// server out for good.
+static constexpr double LeastSlowness = 0.4;
+static constexpr double MostSlowness = 30;
+/// An answer this many times later than expected is a slow one.
+static constexpr double SlowRatio = 2.5;
+/// Slowness that is not confirmed fades with this time constant, doubled for
+/// each slow answer in a row: one pause is forgotten soon, a slow server late.
+static constexpr Duration FirstFade = absl::Milliseconds(400);
+static constexpr int MostFadeDoublings = 4;
+/// A load report counts for nothing once it is this old.
+static constexpr Duration ReportLife = absl::Milliseconds(300);
+/// Preference for the own zone: bytes between zones cost, and so do the
+/// round trips.
+static constexpr Duration CrossZonePenalty = absl::Milliseconds(2);
+/// Extra time when a connection has to be set up first.
+static constexpr Duration ConnectPenalty = absl::Milliseconds(4);
+/// Slowness assumed of a server in its warm-up.
+static constexpr double ColdSlowness = 1.6;
+/// A score is spread by this share, so that instances do not all pick the
+/// server that was idle a moment ago.
+static constexpr double ScoreSpread = 0.15;
+/// An attempt is overdue after this multiple of its expected time.
+static constexpr double OverdueRatio = 3.0;
+/// Rest after a failure, doubled for each further one in a row.
+static constexpr Duration FirstRest = absl::Milliseconds(100);
+static constexpr Duration LongestRest = absl::Seconds(2);
+/// Broken answers in a row after which a server rests.
+static constexpr int FailuresToRest = 2;
+/// Rest after a refusal, in multiples of the expected time.
+static constexpr double ShedRest = 1.0;
+/// Requests that may wait for one service.
+static constexpr std::size_t QueueLimit = 64;
+
+BackendPool::BackendPool(std::string GivenZone, std::uint64_t Seed)
+    : Zone(std::move(GivenZone)), Engine(Seed) {}
+
+void BackendPool::upsert(const DiscoveredServer &Info, TimePoint Now) {
+  ServerRef &S = Servers[Info.Id];
+  const bool NewLife =
+      S == nullptr || S->Info.Address != Info.Address ||
+      (Info.StartedAtMillis != 0 &&
+       S->Info.StartedAtMillis != Info.StartedAtMillis);
+  if (NewLife) {
+    if (S != nullptr)
+      S->Present = false;
+    S = std::make_shared<PoolServer>();
+  }
+  S->Info = Info;
+  S->Present = !Info.Draining;
+  if (Info.WarmUpLeft > absl::ZeroDuration())
+    S->WarmAt = Now + Info.WarmUpLeft;
+}
+
+void BackendPool::remove(const std::string &Id, TimePoint) {
+  auto Known = Servers.find(Id);
+  if (Known == Servers.end())
+    return;
+  Known->second->Present = false;
+  Servers.erase(Known);
+}
+
+void BackendPool::setConnectionShare(int Share, TimePoint) {
+  ConnectionShare = std::max(1, Share);
+}
+
+bool BackendPool::eligible(const PoolServer &S,
+                           const PlaceRequest &Request) const {
+  if (!S.Present)
+    return false;
+  return std::none_of(Request.Excluded.begin(), Request.Excluded.end(),
+                      [&](const ServerRef &E) { return E.get() == &S; });
+}
+
+BackendPool::Tier BackendPool::tier(const PoolServer &S, TimePoint Now) const {
+  if (S.Unreachable || Now < S.RestUntil)
+    return Tier::Resting;
+  return S.overdue(Now) ? Tier::Overdue : Tier::Sound;
+}
+
+double BackendPool::slowness(const PoolServer &S, TimePoint Now) const {
+  double Value = S.Slowness;
+  if (Value > 1) {
+    const int Doublings = std::min(S.SlowStreak, MostFadeDoublings);
+    const Duration Fade = FirstFade * static_cast<double>(1 << Doublings);
+    const double Age = absl::FDivDuration(Now - S.SlownessAt, Fade);
+    Value = 1 + (Value - 1) * std::exp(-std::max(0.0, Age));
+  }
+  return Now < S.WarmAt ? std::max(Value, ColdSlowness) : Value;
+}
+
+double BackendPool::score(const PoolServer &S, const RouteStats &Stats,
+                          TimePoint Now) const {
+  const Duration Work = Stats.expected() * slowness(S, Now);
+  const double Fresh =
+      1.0 - absl::FDivDuration(Now - S.ReportedAt, ReportLife);
+  double Others = 0;
+  if (Fresh > 0)
+    Others =
+        Fresh * std::max(0, S.Reported.Busy + S.Reported.Queued - S.inFlight());
+  const double Ahead = (S.inFlight() + Others) / std::max(1, S.Info.Slots);
+  Duration Expected = Work * (1.0 + Ahead);
+  if (S.Info.Zone != Zone)
+    Expected += CrossZonePenalty;
+  if (S.IdleConnections <= 0)
+    Expected += ConnectPenalty;
+  return absl::ToDoubleMicroseconds(Expected);
+}
+
+ServerRef BackendPool::choose(const PlaceRequest &Request, TimePoint Now,
+                              bool &AnyEligible) {
+  ServerRef Best;
+  Tier BestTier = Tier::Resting;
+  double BestScore = 0;
+  for (const auto &[Id, S] : Servers) {
+    if (!eligible(*S, Request))
+      continue;
+    const Tier T = tier(*S, Now);
+    if (T != Tier::Sound && !Request.LastResort)
+      continue;
+    AnyEligible = true;
+    if (S->inFlight() >= ConnectionShare)
+      continue;
+    const double Spread =
+        1.0 + ScoreSpread * (static_cast<double>(Engine()) / 4294967296.0);
+    const double Score = score(*S, *Request.Stats, Now) * Spread;
+    if (Best == nullptr || T < BestTier ||
+        (T == BestTier && Score < BestScore)) {
+      Best = S;
+      BestTier = T;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+void BackendPool::take(PoolServer &S, const RouteStats &Stats,
+                       TimePoint Now) const {
+  const Duration Expected =
+      Stats.expected() * slowness(S, Now) * OverdueRatio;
+  const Duration Patience = std::max(Expected, Stats.hedgeDelay());
+  S.Pending.push_back(PendingAttempt{Now, Now + Patience});
+}
+
+Place BackendPool::acquire(const PlaceRequest &Request, bool MayWait,
+                           PlaceWaiter Notify, TimePoint Now) {
+  Place P;
+  bool AnyEligible = false;
+  P.Server = choose(Request, Now, AnyEligible);
+  if (P.Server != nullptr) {
+    take(*P.Server, *Request.Stats, Now);
+    P.Outcome = PlaceOutcome::Granted;
+    return P;
+  }
+  if (!AnyEligible || !MayWait || Queue.size() >= QueueLimit)
+    return P;
+  P.Outcome = PlaceOutcome::Queued;
+  P.WaitId = NextWaitId++;
+  auto Behind = std::find_if(Queue.begin(), Queue.end(), [&](const Waiter &W) {
+    return W.Request.Rank > Request.Rank;
+  });
+  Queue.insert(Behind, Waiter{P.WaitId, Request, std::move(Notify)});
+  return P;
+}
+
+void BackendPool::abandon(std::uint64_t WaitId) {
+  auto Found = std::find_if(Queue.begin(), Queue.end(), [&](const Waiter &W) {
+    return W.Id == WaitId;
+  });
+  if (Found != Queue.end())
+    Queue.erase(Found);
+}
+
+static void rest(PoolServer &S, TimePoint Now) {
+  const int Doublings = std::clamp(S.Failures - 1, 0, 8);
+  S.RestUntil =
+      Now + std::min(LongestRest,
+                     FirstRest * static_cast<double>(1 << Doublings));
+}
+
+static void learnSlowness(PoolServer &S, double Before, double Ratio,
+                          TimePoint Now) {
+  S.Slowness = std::clamp(Before * (1 - SlownessWeight) +
+                              Ratio * SlownessWeight,
+                          LeastSlowness, MostSlowness);
+  S.SlownessAt = Now;
+  S.SlowStreak = Ratio > SlowRatio ? S.SlowStreak + 1 : 0;
+}
+
+void BackendPool::learn(PoolServer &S, const AttemptReport &Report,
+                        RouteStats &Stats, TimePoint Now) {
+  if (Report.Load) {
+    S.Reported = *Report.Load;
+    S.ReportedAt = Now;
+  }
+  const double Before = slowness(S, Now);
+  const double Ratio = absl::FDivDuration(Report.Elapsed, Stats.expected());
+  switch (Report.Result) {
+  case AttemptResult::Answered:
+    S.Failures = 0;
+    S.RestUntil = absl::InfinitePast();
+    learnSlowness(S, Before, Ratio, Now);
+    Stats.record(Report.Elapsed, Before, Now);
+    return;
+  case AttemptResult::Shed:
+  case AttemptResult::Starting:
+  case AttemptResult::Expired:
+    S.RestUntil = std::max(S.RestUntil, Now + Stats.expected() * ShedRest);
+    return;
+  case AttemptResult::WrongVersion:
+  case AttemptResult::Draining:
+    // Another lifetime has the address, or this one ends.
+    S.Present = false;
+    return;
+  case AttemptResult::NotSent:
+    ++S.Failures;
+    rest(S, Now);
+    return;
+  case AttemptResult::Lost:
+  case AttemptResult::BadReply:
+    if (++S.Failures >= FailuresToRest)
+      rest(S, Now);
+    return;
+  case AttemptResult::TimedOut:
+  case AttemptResult::Cancelled:
+    // The answer would have taken longer still.
+    if (Ratio > Before)
+      learnSlowness(S, Before, Ratio, Now);
+    if (Report.Result == AttemptResult::TimedOut) {
+      ++S.Failures;
+      rest(S, Now);
+    }
+    return;
+  case AttemptResult::Unused:
+    return;
+  }
+}
+
+void BackendPool::release(const ServerRef &Server, TimePoint Sent,
+                          const AttemptReport &Report, RouteStats &Stats,
+                          TimePoint Now) {
+  auto &Pending = Server->Pending;
+  auto Found =
+      std::find_if(Pending.begin(), Pending.end(),
+                   [&](const PendingAttempt &P) { return P.Sent == Sent; });
+  if (Found != Pending.end())
+    Pending.erase(Found);
+  learn(*Server, Report, Stats, Now);
+}
+
+void BackendPool::serveQueue(TimePoint Now) {
+  for (std::size_t I = 0; I < Queue.size();) {
+    bool AnyEligible = false;
+    ServerRef S = choose(Queue[I].Request, Now, AnyEligible);
+    if (S == nullptr && AnyEligible) {
+      // Waiters differ in the servers they exclude.
+      ++I;
+      continue;
+    }
+    if (S != nullptr)
+      take(*S, *Queue[I].Request.Stats, Now);
+    PlaceWaiter Notify = std::move(Queue[I].Notify);
+    Queue.erase(Queue.begin() + static_cast<std::ptrdiff_t>(I));
+    Notify(S, Now);
+    // The waiter may have changed the queue.
+    I = 0;
+  }
+}
+
+bool BackendPool::usable() const {
+  return std::any_of(Servers.begin(), Servers.end(),
+                     [](const auto &Item) { return Item.second->Present; });
+}
+
+} // namespace quetzallead
--- /dev/null
+++ b/src/core/relay/BackendPool.h
@@ -0,0 +1,113 @@
+#ifndef QUETZALLEAD_CORE_RELAY_BACKENDPOOL_H
+#define QUETZALLEAD_CORE_RELAY_BACKENDPOOL_H
+
+#include "core/relay/PoolServer.h"
+#include "core/relay/RouteStats.h"
+#include "quetzallead/AttemptResult.h"
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+namespace quetzallead {
+
+using ServerRef = std::shared_ptr<PoolServer>;
+
+/// Asks for a place at a backend server.
+struct PlaceRequest {
+  const RouteStats *Stats = nullptr;
+  /// 0 goes first in the queue.
+  int Rank = 0;
+  /// Servers that must not be chosen.
+  std::vector<ServerRef> Excluded;
+  /// If false, a server that is resting or overdue is not chosen.
+  bool LastResort = true;
+};
+
+/// Called when a queued request gets its place, with null if there is no
+/// server for it any more.
+using PlaceWaiter = std::function<void(ServerRef, TimePoint Now)>;
+
+enum class PlaceOutcome { Granted, Queued, None };
+
+struct Place {
+  PlaceOutcome Outcome = PlaceOutcome::None;
+  ServerRef Server;
+  /// Names the place in the queue, if queued.
+  std::uint64_t WaitId = 0;
+};
+
+/// The backend servers of one service as one instance sees them: which one
+/// gets the next attempt, how many may be in flight, and the queue before
+/// them.
+///
+/// Load patterns it answers: servers of different speed, servers that pause
+/// for a moment, that turn slow for a while or fall silent, and bursts. The
+/// choice is by expected time to the answer; a server whose oldest attempt is
+/// overdue gets nothing more until it speaks while another one is there.
+/// Not thread-safe.
+class BackendPool {
+public:
+  BackendPool(std::string Zone, std::uint64_t Seed);
+
+  /// The feed's word of a server; a new lifetime under a known id begins
+  /// without what was learned of the former.
+  void upsert(const DiscoveredServer &Info, TimePoint Now);
+  void remove(const std::string &Id, TimePoint Now);
+  /// Connections to each server that this instance may hold, at least 1.
+  void setConnectionShare(int Share, TimePoint Now);
+  int connectionShare() const { return ConnectionShare; }
+
+  /// Takes a place; a granted one is given back by release().
+  Place acquire(const PlaceRequest &Request, bool MayWait, PlaceWaiter Waiter,
+                TimePoint Now);
+  /// Leaves the queue.
+  void abandon(std::uint64_t WaitId);
+  /// Ends an attempt that was sent at \p Sent.
+  void release(const ServerRef &Server, TimePoint Sent,
+               const AttemptReport &Report, RouteStats &Stats, TimePoint Now);
+  /// Hands free places to the queue; call after release() and once what
+  /// changed has been carried out.
+  void serveQueue(TimePoint Now);
+
+  /// True if there is a server that may receive work.
+  bool usable() const;
+  std::size_t queueLength() const { return Queue.size(); }
+  const std::map<std::string, ServerRef> &servers() const { return Servers; }
+
+private:
+  struct Waiter {
+    std::uint64_t Id = 0;
+    PlaceRequest Request;
+    PlaceWaiter Notify;
+  };
+  enum class Tier { Sound, Overdue, Resting };
+
+  bool eligible(const PoolServer &S, const PlaceRequest &Request) const;
+  Tier tier(const PoolServer &S, TimePoint Now) const;
+  double slowness(const PoolServer &S, TimePoint Now) const;
+  double score(const PoolServer &S, const RouteStats &Stats,
+               TimePoint Now) const;
+  /// Null with \p AnyEligible telling whether waiting may help.
+  ServerRef choose(const PlaceRequest &Request, TimePoint Now,
+                   bool &AnyEligible);
+  void take(PoolServer &S, const RouteStats &Stats, TimePoint Now) const;
+  void learn(PoolServer &S, const AttemptReport &Report, RouteStats &Stats,
+             TimePoint Now);
+
+  const std::string Zone;
+  int ConnectionShare = 1;
+  std::map<std::string, ServerRef> Servers;
+  /// By rank, then in the order of arrival.
+  std::deque<Waiter> Queue;
+  std::uint64_t NextWaitId = 1;
+  pcg32 Engine;
+};
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_CORE_RELAY_BACKENDPOOL_H
--- /dev/null
+++ b/src/core/relay/RelayActions.h
@@ -0,0 +1,36 @@
+#ifndef QUETZALLEAD_CORE_RELAY_RELAYACTIONS_H
+#define QUETZALLEAD_CORE_RELAY_RELAYACTIONS_H
+
+#include "core/relay/BackendPool.h"
+#include "core/relay/RelayVerdict.h"
+#include <cstddef>
+#include <variant>
+#include <vector>
+
+namespace quetzallead {
+
+/// Send attempt \p Attempt to \p Server.
+struct SendRelayAttempt {
+  std::size_t Attempt = 0;
+  ServerRef Server;
+  /// Time that the server has.
+  Duration TimeLeft;
+};
+
+/// End an attempt by closing its connection; its end is reported all the same.
+struct CancelRelayAttempt {
+  std::size_t Attempt = 0;
+};
+
+/// Answer the caller. Attempts in flight go on and are reported.
+struct AnswerCaller {
+  RelayVerdict Verdict;
+};
+
+using RelayAction =
+    std::variant<SendRelayAttempt, CancelRelayAttempt, AnswerCaller>;
+using RelayActions = std::vector<RelayAction>;
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_CORE_RELAY_RELAYACTIONS_H
--- /dev/null
+++ b/src/core/relay/RelayRequest.cpp
@@ -0,0 +1,335 @@
+#include "core/relay/RelayRequest.h"
+#include <algorithm>
+#include <cmath>
+
+namespace quetzallead {
+
+/// Part of a budget that hedges leave to retries.
+static constexpr double HedgeReserve = 0.25;
+/// Part of a budget that hedges leave while many parts of a survey are open;
+/// the last ones gain most.
+static constexpr double EarlyHedgeReserve = 0.5;
+/// A hedge or retry that cannot be paid for is tried again after this.
+static constexpr Duration BudgetWait = absl::Milliseconds(10);
+/// Wait before a part whose servers all refused is asked again.
+static constexpr Duration RefusalWait = absl::Milliseconds(8);
+/// Told to callers of requests that no server can take. A server that starts
+/// registers within about this time.
+static constexpr Duration UnservableRetryAfter = absl::Milliseconds(500);
+
+RelayRequest::RelayRequest(RelayPlan GivenPlan)
+    : Plan(std::move(GivenPlan)), Parts(Plan.Targets.size()) {}
+
+RelayRequest::~RelayRequest() {
+  for (std::size_t I = 0; I < Parts.size(); ++I)
+    leaveQueue(I);
+}
+
+std::size_t RelayRequest::neededParts() const {
+  if (!survey())
+    return 1;
+  // The small part taken off keeps 0.9 * 10 from being rounded up to 10.
+  const double Needed =
+      Plan.Taken->LeastCoverage * static_cast<double>(Parts.size()) - 1e-9;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(Needed)));
+}
+
+void RelayRequest::start(TimePoint Now, RelayActions &Out) {
+  for (RelayTarget &T : Plan.Targets)
+    T.Budget->earn(Now);
+  const auto Usable = static_cast<std::size_t>(
+      std::count_if(Plan.Targets.begin(), Plan.Targets.end(),
+                    [](const RelayTarget &T) { return T.Pool->usable(); }));
+  if (Usable < neededParts()) {
+    RelayVerdict V;
+    V.Outcome = RelayOutcome::Unservable;
+    V.RetryAfter = UnservableRetryAfter;
+    finish(std::move(V), Out);
+    return;
+  }
+  for (std::size_t I = 0; I < Parts.size() && !Answered; ++I)
+    place(I, Now, Out);
+  checkEnd(Now, Out);
+  rearm();
+}
+
+void RelayRequest::place(std::size_t Index, TimePoint Now, RelayActions &Out) {
+  Part &P = Parts[Index];
+  PlaceRequest Ask;
+  Ask.Stats = Plan.Stats.get();
+  Ask.Rank = Plan.Taken->Rank;
+  Ask.Excluded = P.Tried;
+  Place Given = Plan.Targets[Index].Pool->acquire(
+      Ask, true,
+      [this, Index](const ServerRef &Server, TimePoint When) {
+        Parts[Index].WaitId = 0;
+        RelayActions Next;
+        if (Server != nullptr)
+          send(Index, Server, When, Next);
+        else
+          giveUp(Index);
+        checkEnd(When, Next);
+        rearm();
+        OnPlaced(std::move(Next));
+      },
+      Now);
+  if (Given.Outcome == PlaceOutcome::Granted)
+    send(Index, std::move(Given.Server), Now, Out);
+  else if (Given.Outcome == PlaceOutcome::Queued)
+    P.WaitId = Given.WaitId;
+  else
+    giveUp(Index);
+}
+
+void RelayRequest::send(std::size_t Index, ServerRef Server, TimePoint Now,
+                        RelayActions &Out) {
+  Part &P = Parts[Index];
+  ++P.Sent;
+  ++P.Live;
+  P.Tried.push_back(Server);
+  P.RetryAt = absl::InfiniteFuture();
+  P.HedgeAt = absl::InfiniteFuture();
+  if (repeatable() && P.Sent < Plan.Taken->MaxAttempts)
+    P.HedgeAt = Now + Plan.Stats->hedgeDelay();
+  Attempts.push_back(Attempt{Index, Server, Now, true});
+  Out.push_back(SendRelayAttempt{Attempts.size() - 1, std::move(Server),
+                                 Plan.Deadline - Now});
+}
+
+void RelayRequest::leaveQueue(std::size_t Index) {
+  Part &P = Parts[Index];
+  if (P.WaitId != 0)
+    Plan.Targets[Index].Pool->abandon(P.WaitId);
+  P.WaitId = 0;
+}
+
+void RelayRequest::giveUp(std::size_t Index) {
+  Part &P = Parts[Index];
+  if (P.State != PartState::Open)
+    return;
+  P.State = PartState::GivenUp;
+  P.HedgeAt = absl::InfiniteFuture();
+  P.RetryAt = absl::InfiniteFuture();
+  leaveQueue(Index);
+  ++GivenUpParts;
+}
+
+/// True for the statuses that a survey's part or a final success has.
+static bool isSuccess(const BackendAnswer &Answer) {
+  return Answer.Status >= 200 && Answer.Status < 300;
+}
+
+/// A server's own failure that another server may not share.
+static bool isServerFault(const BackendAnswer &Answer) {
+  return Answer.Status >= 500;
+}
+
+bool RelayRequest::accept(std::size_t Index, const AttemptEnd &End) {
+  Part &P = Parts[Index];
+  if (End.Result != AttemptResult::Answered)
+    return false;
+  const bool Good = survey() ? isSuccess(*End.Answer) && !End.Answer->Stamp.empty()
+                             : !isServerFault(*End.Answer);
+  if (!Good && (survey() || repeatable())) {
+    P.Failure = End.Answer;
+    return false;
+  }
+  P.Answer = End.Answer;
+  P.State = PartState::Answered;
+  P.HedgeAt = absl::InfiniteFuture();
+  P.RetryAt = absl::InfiniteFuture();
+  leaveQueue(Index);
+  ++AnsweredParts;
+  return true;
+}
+
+void RelayRequest::onEnd(std::size_t Id, const AttemptEnd &End, TimePoint Now,
+                         RelayActions &Out) {
+  Attempt &A = Attempts[Id];
+  if (!A.Live)
+    return;
+  A.Live = false;
+  const std::size_t Index = A.Part;
+  Part &P = Parts[Index];
+  --P.Live;
+  AttemptReport Report;
+  Report.Result = End.Result;
+  Report.Elapsed = Now - A.Sent;
+  Report.Load = End.Load;
+  if (End.Result == AttemptResult::Answered && isServerFault(*End.Answer))
+    Report.Result = AttemptResult::BadReply;
+  if (End.Result == AttemptResult::NotSent)
+    --P.Sent;
+  Plan.Targets[Index].Pool->release(A.Server, A.Sent, Report, *Plan.Stats, Now);
+  const bool Unrun = provesNotRun(End.Result);
+  A.Unrun = Unrun;
+  if (!Answered && P.State == PartState::Open && !accept(Index, End)) {
+    if (P.Live == 0 && P.WaitId == 0) {
+      if (repeatable() || Unrun)
+        retryOrGiveUp(Index, Now);
+      else
+        giveUp(Index);
+    }
+  }
+  checkEnd(Now, Out);
+  rearm();
+}
+
+void RelayRequest::retryOrGiveUp(std::size_t Index, TimePoint Now) {
+  Part &P = Parts[Index];
+  if (P.Sent >= Plan.Taken->MaxAttempts) {
+    giveUp(Index);
+    return;
+  }
+  P.HedgeAt = absl::InfiniteFuture();
+  P.RetryAt = Now;
+}
+
+void RelayRequest::retry(std::size_t Index, TimePoint Now, RelayActions &Out) {
+  Part &P = Parts[Index];
+  RelayTarget &T = Plan.Targets[Index];
+  // What was never sent arrived nowhere, and its repeat is the first.
+  const bool First = P.Sent == 0;
+  if (!First && !T.Budget->spend(0, Plan.Instances, Now)) {
+    P.RetryAt = Now + BudgetWait;
+    return;
+  }
+  P.RetryAt = absl::InfiniteFuture();
+  ++RetryCount;
+  place(Index, Now, Out);
+  if (P.State != PartState::GivenUp || T.Pool->servers().empty())
+    return;
+  // Every server was tried: the first one may have room by now.
+  P.State = PartState::Open;
+  --GivenUpParts;
+  P.Tried.clear();
+  P.RetryAt = Now + RefusalWait;
+}
+
+void RelayRequest::hedge(std::size_t Index, TimePoint Now, RelayActions &Out) {
+  Part &P = Parts[Index];
+  RelayTarget &T = Plan.Targets[Index];
+  const std::size_t Open = Parts.size() - AnsweredParts - GivenUpParts;
+  const bool Late = Open <= 2;
+  if (!T.Budget->spend(Late ? HedgeReserve : EarlyHedgeReserve, Plan.Instances,
+                       Now)) {
+    P.HedgeAt = Now + BudgetWait;
+    return;
+  }
+  PlaceRequest Ask;
+  Ask.Stats = Plan.Stats.get();
+  Ask.Rank = Plan.Taken->Rank;
+  Ask.Excluded = P.Tried;
+  Ask.LastResort = false;
+  Place Given = T.Pool->acquire(Ask, false, nullptr, Now);
+  if (Given.Outcome != PlaceOutcome::Granted) {
+    T.Budget->refund(Now);
+    P.HedgeAt = Now + BudgetWait;
+    return;
+  }
+  ++HedgeCount;
+  send(Index, std::move(Given.Server), Now, Out);
+}
+
+void RelayRequest::onTimer(TimePoint Now, RelayActions &Out) {
+  for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
+    if (Parts[I].State != PartState::Open)
+      continue;
+    if (Parts[I].RetryAt <= Now)
+      retry(I, Now, Out);
+    if (Parts[I].HedgeAt <= Now)
+      hedge(I, Now, Out);
+  }
+  checkEnd(Now, Out);
+  rearm();
+}
+
+void RelayRequest::onCallerLeft(TimePoint, RelayActions &Out) {
+  // What cannot be repeated is not broken off: its effect is wanted.
+  for (std::size_t I = 0; I < Attempts.size() && repeatable(); ++I)
+    if (Attempts[I].Live)
+      Out.push_back(CancelRelayAttempt{I});
+  for (std::size_t I = 0; I < Parts.size(); ++I)
+    leaveQueue(I);
+  if (!Answered) {
+    RelayVerdict V;
+    V.Outcome = RelayOutcome::CallerLeft;
+    finish(std::move(V), Out);
+  }
+}
+
+RelayVerdict RelayRequest::merged() const {
+  RelayVerdict V;
+  V.Outcome = RelayOutcome::Merged;
+  for (const Part &P : Parts)
+    if (P.State == PartState::Answered)
+      V.Answers.push_back(P.Answer);
+  V.Missing = Parts.size() - V.Answers.size();
+  return V;
+}
+
+bool RelayRequest::mayHaveRun() const {
+  return std::any_of(Attempts.begin(), Attempts.end(),
+                     [](const Attempt &A) { return !A.Unrun; });
+}
+
+RelayVerdict RelayRequest::failure(TimePoint Now) const {
+  RelayVerdict V;
+  if (!survey() && Parts[0].Failure != nullptr) {
+    V.Outcome = RelayOutcome::Relayed;
+    V.Answers.push_back(Parts[0].Failure);
+    return V;
+  }
+  if (mayHaveRun()) {
+    V.Outcome =
+        Now >= Plan.Deadline ? RelayOutcome::TimedOut : RelayOutcome::Failed;
+    return V;
+  }
+  V.Outcome = RelayOutcome::Refused;
+  V.RetryAfter = std::max<Duration>(absl::Milliseconds(20),
+                                    Plan.Stats->expected() * 2);
+  return V;
+}
+
+void RelayRequest::checkEnd(TimePoint Now, RelayActions &Out) {
+  if (Answered)
+    return;
+  const std::size_t Needed = neededParts();
+  const bool Enough = AnsweredParts >= Needed;
+  const bool AllDone = AnsweredParts + GivenUpParts == Parts.size();
+  if (Enough && (AllDone || Now >= Plan.AnswerBy)) {
+    if (survey()) {
+      finish(merged(), Out);
+      return;
+    }
+    RelayVerdict V;
+    V.Outcome = RelayOutcome::Relayed;
+    V.Answers.push_back(Parts[0].Answer);
+    finish(std::move(V), Out);
+    return;
+  }
+  const bool Hopeless = Parts.size() - GivenUpParts < Needed;
+  if (Hopeless || Now >= Plan.Deadline)
+    finish(failure(Now), Out);
+}
+
+void RelayRequest::finish(RelayVerdict Verdict, RelayActions &Out) {
+  Answered = true;
+  for (std::size_t I = 0; I < Parts.size(); ++I)
+    leaveQueue(I);
+  Out.push_back(AnswerCaller{std::move(Verdict)});
+}
+
+void RelayRequest::rearm() {
+  NextTimer = absl::InfiniteFuture();
+  if (Answered)
+    return;
+  NextTimer = Plan.Deadline;
+  if (AnsweredParts >= neededParts())
+    NextTimer = std::min(NextTimer, Plan.AnswerBy);
+  for (const Part &P : Parts)
+    if (P.State == PartState::Open)
+      NextTimer = std::min({NextTimer, P.HedgeAt, P.RetryAt});
+}
+
+} // namespace quetzallead
--- /dev/null
+++ b/src/relay/RelayDaemon.h
@@ -0,0 +1,79 @@
+#ifndef QUETZALLEAD_RELAY_RELAYDAEMON_H
+#define QUETZALLEAD_RELAY_RELAYDAEMON_H
+
+#include "core/relay/RelayState.h"
+#include "relay/BackendClient.h"
+#include "relay/CallerSession.h"
+#include "relay/Deployment.h"
+#include "relay/FleetCount.h"
+#include "relay/KeyFollower.h"
+#include "relay/RelaySession.h"
+#include "relay/RelaySettings.h"
+#include "relay/StopPlan.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace quetzallead {
+
+/// One running relay: accepts callers, follows sheet and servers in the store,
+/// and carries requests to backend servers, all on one thread.
+class RelayDaemon {
+public:
+  RelayDaemon(RelaySettings Settings, Deployment Surroundings);
+
+  /// Binds the listeners. Fails with Unavailable.
+  Result<bool> listen();
+  /// Serves until a planned stop is over.
+  void run();
+
+private:
+  using Acceptor = boost::asio::ip::tcp::acceptor;
+
+  Result<bool> bind(Acceptor &Listener, const std::string &Address);
+  void accept(Acceptor &Listener, CallerHandlers &Handlers, bool Caller);
+  void followStore();
+  void takeSheet(const std::vector<StoreItem> &Items);
+  void takeServers(const std::vector<FeedChange> &Changes);
+  void expireServers();
+  void onRequest(const std::shared_ptr<CallerSession> &Caller,
+                 HttpRequest Request);
+  void onReadiness(const std::shared_ptr<CallerSession> &Prober);
+  void own(CallerSession &Caller, unsigned Status, Duration RetryAfter);
+  void onVerdict(CallerSession &Caller, const RelayCall &Call,
+                 const RelayVerdict &Verdict, const RelayRequest &Request);
+  bool ready() const;
+  bool stopping() const { return Stop.Begun != absl::InfiniteFuture(); }
+  void waitForSignal();
+  void beginStop();
+  void stopStep();
+
+  RelaySettings Settings;
+  Deployment Surroundings;
+  boost::asio::io_context Loop;
+  LoopTimers Timers;
+  RelayState State;
+  ServerFeed Feed;
+  BackendClient Backends;
+  std::unique_ptr<RevisionedStore> Store;
+  std::unique_ptr<KeyFollower> SheetFollower;
+  std::unique_ptr<KeyFollower> ServerFollower;
+  std::unique_ptr<FleetCount> Fleet;
+  Acceptor CallerListener;
+  Acceptor ReadinessListener;
+  boost::asio::signal_set Signals;
+  CallerHandlers CallerParts;
+  CallerHandlers ReadinessParts;
+  std::set<CallerSession *> Callers;
+  std::map<CallerSession *, std::shared_ptr<RelaySession>> Active;
+  StopPlan Stop;
+  std::shared_ptr<LoopTimers::Subscription> StopTimer;
+  std::shared_ptr<LoopTimers::Subscription> ExpiryTimer;
+};
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_RELAY_RELAYDAEMON_H
--- /dev/null
+++ b/src/relay/RelayMessages.cpp
@@ -0,0 +1,205 @@
+#include "relay/RelayMessages.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+#include "core/relay/RecordMerge.h"
+#include <boost/beast/http/status.hpp>
+
+namespace quetzallead {
+
+namespace http = boost::beast::http;
+
+static absl::string_view view(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+/// Headers that concern one connection only.
+static bool isHopByHop(absl::string_view Name) {
+  for (absl::string_view Known :
+       {"connection", "keep-alive", "transfer-encoding", "te", "trailer",
+        "upgrade", "proxy-connection", "proxy-authenticate",
+        "proxy-authorization"})
+    if (absl::EqualsIgnoreCase(Name, Known))
+      return true;
+  return false;
+}
+
+/// The header names that a Connection header takes off the message.
+static std::vector<std::string> namedByConnection(const http::fields &Fields) {
+  std::vector<std::string> Names;
+  auto Range = Fields.equal_range(http::field::connection);
+  for (auto It = Range.first; It != Range.second; ++It)
+    for (absl::string_view Item : absl::StrSplit(view(It->value()), ','))
+      Names.push_back(
+          absl::AsciiStrToLower(absl::StripAsciiWhitespace(Item)));
+  return Names;
+}
+
+/// The end-to-end headers of \p Fields but for those called \p Left.
+static std::string
+endToEndHeaders(const http::fields &Fields,
+                const std::vector<absl::string_view> &Left) {
+  const std::vector<std::string> Named = namedByConnection(Fields);
+  std::string Out;
+  for (const auto &Field : Fields) {
+    const absl::string_view Name = view(Field.name_string());
+    bool Skip = isHopByHop(Name);
+    for (const std::string &Other : Named)
+      Skip = Skip || absl::EqualsIgnoreCase(Name, Other);
+    for (absl::string_view Other : Left)
+      Skip = Skip || absl::EqualsIgnoreCase(Name, Other);
+    if (!Skip)
+      absl::StrAppend(&Out, Name, ": ", view(Field.value()), "\r\n");
+  }
+  return Out;
+}
+
+RelayCall decodeCall(HttpRequest &Request, const HeaderNames &Names,
+                     TimePoint Arrived) {
+  RelayCall Call;
+  Call.Arrived = Arrived;
+  Call.Method = std::string(view(Request.method_string()));
+  Call.Target = std::string(view(Request.target()));
+  Call.Host = std::string(view(Request[http::field::host]));
+  Call.RequestId = std::string(view(Request[Names.RequestId]));
+  double Millis = 0;
+  const absl::string_view Left = view(Request[Names.TimeLeft]);
+  if (absl::SimpleAtod(Left, &Millis) && Millis >= 0 && Millis < 1e9)
+    Call.TimeLeft = absl::Milliseconds(Millis);
+  Call.HasBody = Request.count(http::field::content_length) > 0 ||
+                 Request.count(http::field::transfer_encoding) > 0;
+  Call.Headers = endToEndHeaders(
+      Request, {Names.TimeLeft, Names.ExpectedServer, "content-length",
+                "expect", "host"});
+  Call.Body = std::move(Request.body());
+  return Call;
+}
+
+std::string encodeAttempt(const RelayCall &Call, const HeaderNames &Names,
+                          const std::string &ServerId, Duration TimeLeft) {
+  const std::int64_t Millis =
+      std::max<std::int64_t>(1, absl::ToInt64Milliseconds(TimeLeft));
+  std::string Out = absl::StrCat(
+      Call.Method, " ", Call.Target, " HTTP/1.1\r\nHost: ", Call.Host, "\r\n",
+      Call.Headers, Names.TimeLeft, ": ", Millis, "\r\n");
+  absl::StrAppend(&Out, Names.ExpectedServer, ": ", ServerId, "\r\n");
+  if (Call.HasBody)
+    absl::StrAppend(&Out, "Content-Length: ", Call.Body.size(), "\r\n");
+  absl::StrAppend(&Out, "\r\n", Call.Body);
+  return Out;
+}
+
+static std::optional<LoadReport> decodeLoad(absl::string_view Text) {
+  const std::vector<absl::string_view> Items = absl::StrSplit(Text, ',');
+  LoadReport Load;
+  if (Items.size() == 3 && absl::SimpleAtoi(Items[0], &Load.Busy) &&
+      absl::SimpleAtoi(Items[1], &Load.Queued) &&
+      absl::SimpleAtoi(Items[2], &Load.Slots))
+    return Load;
+  return std::nullopt;
+}
+
+AttemptEnd decodeEnd(HttpExchangeEnd End, const HeaderNames &Names) {
+  AttemptEnd Out;
+  Out.Result = End.Result;
+  if (End.Result != AttemptResult::Answered)
+    return Out;
+  HttpResponse &Response = *End.Response;
+  Out.Load = decodeLoad(view(Response[Names.Load]));
+  if (Response.result() == http::status::misdirected_request) {
+    Out.Result = AttemptResult::Draining;
+    return Out;
+  }
+  if (Response.count(Names.NotRun) > 0) {
+    Out.Result = AttemptResult::Shed;
+    return Out;
+  }
+  auto Answer = std::make_shared<BackendAnswer>();
+  Answer->Status = Response.result_int();
+  Answer->Reason = std::string(view(Response.reason()));
+  Answer->Headers = endToEndHeaders(Response, {"content-length"});
+  std::uint64_t Length = 0;
+  if (absl::SimpleAtoi(view(Response[http::field::content_length]), &Length))
+    Answer->StatedLength = Length;
+  Answer->Stamp = std::string(view(Response[Names.Stamp]));
+  Answer->Body = std::move(Response.body());
+  Out.Answer = std::move(Answer);
+  return Out;
+}
+
+static std::string statusLine(unsigned Status, absl::string_view Reason) {
+  return absl::StrCat("HTTP/1.1 ", Status, " ", Reason, "\r\n");
+}
+
+std::string encodeOwnAnswer(unsigned Status, Duration RetryAfter,
+                            bool KeepOpen) {
+  const auto Reason = http::obsolete_reason(http::int_to_status(Status));
+  std::string Out = statusLine(Status, view(Reason));
+  if (RetryAfter > absl::ZeroDuration())
+    absl::StrAppendFormat(&Out, "Retry-After: %.3f\r\n",
+                          absl::ToDoubleSeconds(RetryAfter));
+  if (!KeepOpen)
+    absl::StrAppend(&Out, "Connection: close\r\n");
+  absl::StrAppend(&Out, "Content-Length: 0\r\n\r\n");
+  return Out;
+}
+
+static std::string encodeRelayed(const BackendAnswer &Answer, bool HeadRequest,
+                                 bool KeepOpen) {
+  std::string Out = statusLine(Answer.Status, Answer.Reason);
+  absl::StrAppend(&Out, Answer.Headers);
+  if (!KeepOpen)
+    absl::StrAppend(&Out, "Connection: close\r\n");
+  const bool Bodiless = Answer.Status == 204 || Answer.Status == 304;
+  if (HeadRequest || Bodiless) {
+    if (HeadRequest && Answer.StatedLength)
+      absl::StrAppend(&Out, "Content-Length: ", *Answer.StatedLength, "\r\n");
+    return absl::StrCat(Out, "\r\n");
+  }
+  absl::StrAppend(&Out, "Content-Length: ", Answer.Body.size(), "\r\n\r\n",
+                  Answer.Body);
+  return Out;
+}
+
+static std::string encodeMerged(const RelayVerdict &Verdict, std::size_t Wanted,
+                                const HeaderNames &Names, bool KeepOpen) {
+  std::vector<absl::string_view> Parts;
+  std::string Stamps;
+  for (const auto &Answer : Verdict.Answers) {
+    Parts.emplace_back(Answer->Body);
+    absl::StrAppend(&Stamps, Stamps.empty() ? "" : ", ", Answer->Stamp);
+  }
+  const std::string Body = mergeGreatestRecords(Parts, Wanted);
+  std::string Out = statusLine(200, "OK");
+  absl::StrAppend(&Out, Names.PartStamps, ": ", Stamps, "\r\n",
+                  Names.MissingParts, ": ", Verdict.Missing, "\r\n");
+  if (!KeepOpen)
+    absl::StrAppend(&Out, "Connection: close\r\n");
+  absl::StrAppend(&Out, "Content-Length: ", Body.size(), "\r\n\r\n", Body);
+  return Out;
+}
+
+std::string encodeAnswer(const RelayVerdict &Verdict, std::size_t Wanted,
+                         const HeaderNames &Names, bool HeadRequest,
+                         bool KeepOpen) {
+  switch (Verdict.Outcome) {
+  case RelayOutcome::Relayed:
+    return encodeRelayed(*Verdict.Answers[0], HeadRequest, KeepOpen);
+  case RelayOutcome::Merged:
+    return encodeMerged(Verdict, Wanted, Names, KeepOpen);
+  case RelayOutcome::Refused:
+  case RelayOutcome::Unservable:
+    return encodeOwnAnswer(503, Verdict.RetryAfter, KeepOpen);
+  case RelayOutcome::TimedOut:
+    return encodeOwnAnswer(504, absl::ZeroDuration(), KeepOpen);
+  case RelayOutcome::Failed:
+  case RelayOutcome::CallerLeft:
+    break;
+  }
+  return encodeOwnAnswer(502, absl::ZeroDuration(), KeepOpen);
+}
+
+} // namespace quetzallead
--- /dev/null
+++ b/src/relay/RelaySession.h
@@ -0,0 +1,54 @@
+#ifndef QUETZALLEAD_RELAY_RELAYSESSION_H
+#define QUETZALLEAD_RELAY_RELAYSESSION_H
+
+#include "core/relay/RelayRequest.h"
+#include "core/relay/RouteTable.h"
+#include "relay/BackendClient.h"
+#include "relay/RelayMessages.h"
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace quetzallead {
+
+/// Carries out one RelayRequest: sends its attempts, feeds what comes of them
+/// back and passes on the verdict. Keeps itself alive until its last attempt
+/// has ended, which may be after the answer.
+class RelaySession : public std::enable_shared_from_this<RelaySession> {
+public:
+  /// Called once, unless the caller left.
+  using Completion =
+      std::function<void(const RelayVerdict &, const RelayRequest &)>;
+
+  /// \p Table holds the plan's route.
+  RelaySession(BackendClient &Backends, LoopTimers &Timers,
+               const HeaderNames &Names, RelayCall Call,
+               std::shared_ptr<const RouteTable> Table, RelayPlan Plan,
+               Completion OnDone);
+
+  void start();
+  /// Nobody waits for the answer any more.
+  void callerLeft();
+  const RelayCall &call() const { return Call; }
+  const RelayRequest &request() const { return Request; }
+
+private:
+  void perform(RelayActions Actions);
+  void send(const SendRelayAttempt &Action);
+  void rearm();
+
+  BackendClient &Backends;
+  LoopTimers &Timers;
+  const HeaderNames &Names;
+  RelayCall Call;
+  std::shared_ptr<const RouteTable> Table;
+  RelayRequest Request;
+  Completion OnDone;
+  std::vector<std::shared_ptr<HttpConnection>> Connections;
+  std::shared_ptr<LoopTimers::Subscription> Timer;
+  TimePoint TimerAt = absl::InfiniteFuture();
+};
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_RELAY_RELAYSESSION_H
--- /dev/null
+++ b/src/relay/RelaySettings.cpp
@@ -0,0 +1,66 @@
+#include "relay/RelaySettings.h"
+#include "core/base/JsonReader.h"
+#include "core/base/JsonText.h"
+#include "runtime/FileText.h"
+#include <nlohmann/json.hpp>
+
+namespace quetzallead {
+
+static constexpr std::size_t MaxSettingsBytes = std::size_t{64} * 1024;
+static constexpr Duration MaxTime = absl::Hours(1);
+static constexpr double MaxBase = 1e6;
+
+static RelaySettings readSettings(JsonReader &Reader) {
+  RelaySettings S;
+  S.Instance = Reader.name("instance");
+  S.Zone = Reader.name("zone");
+  S.CallerListen = Reader.address("caller_listen");
+  S.ReadinessListen = Reader.address("readiness_listen");
+  JsonReader Store = Reader.object("store");
+  S.StoreAddress = Store.address("address");
+  S.StoreTimeout = Store.milliseconds("timeout_ms", absl::Milliseconds(1),
+                                      MaxTime, S.StoreTimeout);
+  S.ReturnTime = Store.milliseconds("return_time_ms", absl::ZeroDuration(),
+                                    MaxTime, S.ReturnTime);
+  Store.finish();
+  JsonReader Stop = Reader.optionalObject("stop");
+  S.StopGrace = absl::Seconds(Stop.number(
+      "grace_s", 0, absl::ToDoubleSeconds(MaxTime),
+      absl::ToDoubleSeconds(S.StopGrace)));
+  Stop.finish();
+  JsonReader Extra = Reader.optionalObject("extra_load");
+  S.ExtraLoad.Share = Extra.number("share", 0, 1, S.ExtraLoad.Share);
+  S.ExtraLoad.Base = Extra.number("base", 0, MaxBase, S.ExtraLoad.Base);
+  S.ExtraLoad.Window = absl::Seconds(
+      Extra.number("window_s", 0.1, absl::ToDoubleSeconds(MaxTime),
+                   absl::ToDoubleSeconds(S.ExtraLoad.Window)));
+  Extra.finish();
+  JsonReader Log = Reader.optionalObject("log");
+  S.Log = Log.choice("level", LogLevelNames, std::make_optional(S.Log));
+  Log.finish();
+  Reader.finish();
+  return S;
+}
+
+Result<RelaySettings> parseRelaySettings(absl::string_view Text) {
+  JsonLimits Limits;
+  Limits.MaxBytes = MaxSettingsBytes;
+  Result<nlohmann::json> Document = parseJsonText(Text, Limits);
+  if (!Document)
+    return Document.error();
+  JsonProblem Problem;
+  JsonReader Reader(Document.value(), std::string(), Problem);
+  RelaySettings S = readSettings(Reader);
+  if (Problem)
+    return leaf::new_error(*Problem);
+  return S;
+}
+
+Result<RelaySettings> loadRelaySettings(const std::string &Path) {
+  Result<std::string> Text = readFileText(Path, MaxSettingsBytes);
+  if (!Text)
+    return Text.error();
+  return namingFile(Path, [&] { return parseRelaySettings(Text.value()); });
+}
+
+} // namespace quetzallead
