Read the store again after a watch was cut

Cause: platform_compact drops the history while it cuts the watches. Ruled out: the machine's cut (the servers' watch got through at the same time), an older sheet taken. Seen in the log of one machine: reading at 13.15 s, two changes after the cut at 8.20 s. Conclusion: after any failure of a watch only a reading tells. KeyFollowerTest.ReadsAgainWhenAWatchIsCut was red before.

--- a/src/relay/KeyFollower.cpp
+++ b/src/relay/KeyFollower.cpp
@@ -50,13 +50,14 @@
   const Duration Longest = std::min(
       LongestPause, FirstPause * static_cast<double>(1 << Doublings));
   const double Spread = 0.5 + 0.5 * (static_cast<double>(Engine()) / 4294967296.0);
-  later(Longest * Spread,
-        Complete ? &KeyFollower::watch : &KeyFollower::readAll);
+  // What a watch that was cut has missed may lie in history that the store has
+  // dropped, and another watch would wait for the next change: only a reading
+  // tells.
+  later(Longest * Spread, &KeyFollower::readAll);
 }
 
 void KeyFollower::onPage(StorePage Page) {
   if (Page.Outcome != StoreOutcome::Done) {
-    Complete = false;
     onFailure(Page.Outcome);
     return;
   }
@@ -69,7 +70,6 @@
     readPage(Pages.back().Key);
     return;
   }
-  Complete = true;
   EverComplete = true;
   Handlers.OnAll(Pages, Revision);
   Pages.clear();
--- a/src/relay/KeyFollower.h
+++ b/src/relay/KeyFollower.h
@@ -35,7 +35,7 @@
 
 /// Keeps up with the keys of a prefix: reads all of them, then watches for
 /// changes from the revision at which the reading began, and reads again when
-/// the store has forgotten that history. Failures are followed by growing,
+/// the store has forgotten that history or a watch was cut. Failures are followed by growing,
 /// spread pauses, so that a fleet that starts together does not keep a store
 /// down that is coming back.
 class KeyFollower {
@@ -66,7 +66,6 @@
   /// Where the next watch begins.
   std::uint64_t Revision = 0;
   bool FirstPage = true;
-  bool Complete = false;
   bool EverComplete = false;
   bool Lost = false;
   int Failures = 0;
