Test the relay's decision core; end surveys whose servers have all left

The new tests found two faults: a part whose last server had said that it leaves was asked again and again instead of being given up, so that a survey below its coverage was held to its deadline; and a request whose caller had left kept its timer. ReplicaSet: an answer to an attempt that was sent before the server's last failure no longer ends its hold (test red before).

--- a/include/quetzallead/ServerBelief.h
+++ b/include/quetzallead/ServerBelief.h
@@ -37,6 +37,8 @@
   HeldVersions Held;
   /// When the last answer came.
   TimePoint AnsweredAt = absl::InfinitePast();
+  /// When an attempt last failed.
+  TimePoint FailedAt = absl::InfinitePast();
   /// Failures since the last answer.
   int ConsecutiveFailures = 0;
   /// No attempt before this time, unless no other replica is left.
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -1,4 +1,5 @@
 #include "core/relay/RelayRequest.h"
+#include "absl/strings/str_cat.h"
 #include <algorithm>
 #include <cmath>
 
@@ -197,7 +198,7 @@
   P.RetryAt = absl::InfiniteFuture();
   ++RetryCount;
   place(Index, Now, Out);
-  if (P.State != PartState::GivenUp || T.Pool->servers().empty())
+  if (P.State != PartState::GivenUp || !T.Pool->usable())
     return;
   // Every server was tried: the first one may have room by now.
   P.State = PartState::Open;
@@ -256,6 +257,7 @@
     V.Outcome = RelayOutcome::CallerLeft;
     finish(std::move(V), Out);
   }
+  rearm();
 }
 
 RelayVerdict RelayRequest::merged() const {
@@ -268,6 +270,27 @@
   return V;
 }
 
+std::string RelayRequest::describeMissing() const {
+  std::string Text;
+  for (std::size_t I = 0; I < Parts.size(); ++I) {
+    if (Parts[I].State == PartState::Answered)
+      continue;
+    absl::StrAppend(&Text, Text.empty() ? "" : " ", Plan.Targets[I].Service,
+                    "(");
+    const char *Gap = "";
+    for (const Attempt &A : Attempts) {
+      if (A.Part != I)
+        continue;
+      absl::StrAppend(&Text, Gap, A.Server->Info.Id, "@",
+                      absl::ToInt64Milliseconds(A.Sent - Plan.Arrived),
+                      A.Live ? "" : "!");
+      Gap = ",";
+    }
+    absl::StrAppend(&Text, ")");
+  }
+  return Text;
+}
+
 bool RelayRequest::mayHaveRun() const {
   return std::any_of(Attempts.begin(), Attempts.end(),
                      [](const Attempt &A) { return !A.Unrun; });
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -76,6 +76,9 @@
   const std::shared_ptr<BackendPool> &poolOf(std::size_t Id) const {
     return Plan.Targets[Attempts[Id].Part].Pool;
   }
+  /// The parts without an answer, for the log: of each its service, and the
+  /// servers that were asked with the milliseconds after the arrival.
+  std::string describeMissing() const;
 
 private:
   enum class PartState { Open, Answered, GivenUp };
--- a/src/core/routing/ReplicaSet.cpp
+++ b/src/core/routing/ReplicaSet.cpp
@@ -407,6 +407,12 @@
     B.Held = *Report.Held;
   switch (Report.Result) {
   case AttemptResult::Answered:
+    // An attempt that was sent before the last failure tells nothing of what
+    // the server does since.
+    if (Now - Report.Elapsed < B.FailedAt) {
+      learnLatency(B, Report.Elapsed, Now);
+      return;
+    }
     B.ConsecutiveFailures = 0;
     B.AnsweredAt = Now;
     B.EjectedUntil = absl::InfinitePast();
@@ -435,6 +441,7 @@
   case AttemptResult::TimedOut:
   case AttemptResult::BadReply:
     ++B.ConsecutiveFailures;
+    B.FailedAt = Now;
     if (Report.Elapsed > B.Latency)
       learnLatency(B, Report.Elapsed, Now);
     if (Report.Result == AttemptResult::NotSent ||
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -309,6 +309,15 @@
               {"attempts", Request.attempts()},
               {"ms", absl::ToInt64Milliseconds(LoopTimers::now() -
                                                Call.Arrived)}});
+  if (Verdict.Missing > 0)
+    logEvent(LogLevel::Info, "parts_missing",
+             {{"request", Call.RequestId},
+              {"route", Request.plan().Taken->Name},
+              {"missing", Request.describeMissing()},
+              {"hedge_ms", absl::ToDoubleMilliseconds(
+                               Request.plan().Stats->hedgeDelay())},
+              {"ms", absl::ToInt64Milliseconds(LoopTimers::now() -
+                                               Call.Arrived)}});
   const bool KeepOpen = Caller.mayKeepOpen();
   Caller.answer(encodeAnswer(Verdict, Request.plan().Taken->RecordsWanted,
                              Surroundings.Headers, Caller.headRequest(),
--- a/tests/core/ReplicaSetTest.cpp
+++ b/tests/core/ReplicaSetTest.cpp
@@ -252,3 +252,26 @@
       RC_ASSERT(Set.belief(Replica).Outstanding <= Share);
   }
 }
+
+TEST(ReplicaSetTest, AnswerSentBeforeAFailureDoesNotEndTheHold) {
+  ReplicaSet Set(shardOf(2), optionsOf(RoutingPolicy::ExpectedCompletion), 1,
+                 Start);
+  ASSERT_TRUE(Set.acquireOn(0));
+  for (int Failure = 0; Failure < 3; ++Failure) {
+    ASSERT_TRUE(Set.acquireOn(0));
+    Set.release(0, failed(AttemptResult::Lost),
+                Start + absl::Milliseconds(10 + Failure));
+  }
+  const TimePoint Later = Start + absl::Milliseconds(20);
+  const TimePoint Held = Set.belief(0).EjectedUntil;
+  ASSERT_GT(Held, Later);
+  // Sent at Start, before the failures.
+  Set.release(0, answered(absl::Milliseconds(20)), Later);
+  EXPECT_EQ(Set.belief(0).EjectedUntil, Held);
+  EXPECT_TRUE(Set.belief(0).NeedsProbe);
+  // Sent after them.
+  ASSERT_TRUE(Set.acquireOn(0));
+  Set.release(0, answered(absl::Milliseconds(5)),
+              Later + absl::Milliseconds(10));
+  EXPECT_FALSE(Set.belief(0).NeedsProbe);
+}
--- /dev/null
+++ b/tests/relay/RelayCoreTest.cpp
@@ -0,0 +1,169 @@
+#include "core/relay/ExtraLoadBudget.h"
+#include "core/relay/RecordMerge.h"
+#include "core/relay/RouteTable.h"
+#include "core/relay/ServerFeed.h"
+#include "core/relay/SplitPicker.h"
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace quetzallead;
+
+namespace {
+
+const TimePoint Start = absl::UnixEpoch() + absl::Hours(1);
+
+Route routeOf(const std::string &Name, const std::string &Host,
+              const std::string &Prefix) {
+  Route R;
+  R.Name = Name;
+  R.Host = Host;
+  R.Prefix = Prefix;
+  R.Services = {RouteService{"s", 1}};
+  return R;
+}
+
+FeedEntry entryOf(const std::string &Id, std::uint64_t Revision,
+                  bool Draining = false) {
+  DiscoveredServer S;
+  S.Id = Id;
+  S.Draining = Draining;
+  return FeedEntry{Id, Revision, S};
+}
+
+FeedEntry removalOf(const std::string &Id, std::uint64_t Revision) {
+  return FeedEntry{Id, Revision, std::nullopt};
+}
+
+} // namespace
+
+TEST(RouteTableTest, TakesTheLongestPrefixOfTheHost) {
+  RouteSheet Sheet;
+  Sheet.Routes = {routeOf("root", "h.example", "/"),
+                  routeOf("a", "h.example", "/a/"),
+                  routeOf("ab", "h.example", "/a/b/"),
+                  routeOf("other", "o.example", "/a/b/c/")};
+  RouteTable Table(Sheet);
+  EXPECT_EQ(Table.find("h.example", "/a/b/c/d")->Name, "ab");
+  EXPECT_EQ(Table.find("H.example:80", "/a/b")->Name, "a");
+  EXPECT_EQ(Table.find("h.example", "/a/b/?x=/y/")->Name, "ab");
+  EXPECT_EQ(Table.find("h.example", "/x")->Name, "root");
+  EXPECT_EQ(Table.find("o.example", "/a/b/"), nullptr);
+  EXPECT_EQ(Table.find("", "/a/"), nullptr);
+  EXPECT_EQ(Table.find("h.example", "*"), nullptr);
+}
+
+TEST(RecordMergeTest, ComparesBytesAsUnsignedAndKeepsEqualOnes) {
+  const std::string Low(RecordBytes, 'a');
+  const std::string High(RecordBytes, '\xff');
+  EXPECT_EQ(mergeGreatestRecords({Low + High + "rest", High}, 2), High + High);
+  EXPECT_EQ(mergeGreatestRecords({"short"}, 3), "");
+}
+
+RC_GTEST_PROP(RecordMergeTest, EqualsSortingAllRecords,
+              (std::vector<std::vector<std::uint8_t>> Raw)) {
+  std::vector<std::string> Texts;
+  std::vector<std::string> All;
+  for (const auto &Bytes : Raw) {
+    std::string Part;
+    for (std::uint8_t Byte : Bytes) {
+      const std::string Record(RecordBytes, static_cast<char>(Byte));
+      Part += Record;
+      All.push_back(Record);
+    }
+    Texts.push_back(Part);
+  }
+  std::sort(All.rbegin(), All.rend());
+  const auto Wanted = *rc::gen::inRange<std::size_t>(0, 40);
+  std::string Expected;
+  for (std::size_t I = 0; I < std::min(Wanted, All.size()); ++I)
+    Expected += All[I];
+  RC_ASSERT(mergeGreatestRecords({Texts.begin(), Texts.end()}, Wanted) ==
+            Expected);
+}
+
+TEST(SplitPickerTest, SharesFollowTheWeightsExactly) {
+  Route R = routeOf("r", "h", "/");
+  R.Services = {{"a", 5}, {"b", 3}, {"c", 2}, {"none", 0}};
+  SplitPicker Picker;
+  std::vector<int> Counts(4);
+  for (int I = 0; I < 1000; ++I)
+    ++Counts[Picker.pick(R)];
+  EXPECT_EQ(Counts, (std::vector<int>{500, 300, 200, 0}));
+}
+
+TEST(ServerFeedTest, NewerRevisionsWin) {
+  ServerFeed Feed(absl::Seconds(2));
+  Feed.apply({entryOf("a", 5)}, Start);
+  EXPECT_TRUE(Feed.apply({removalOf("a", 4)}, Start).empty());
+  EXPECT_EQ(Feed.size(), 1u);
+  EXPECT_EQ(Feed.apply({removalOf("a", 6)}, Start).size(), 1u);
+  EXPECT_TRUE(Feed.apply({entryOf("a", 5)}, Start).empty());
+  EXPECT_EQ(Feed.size(), 0u);
+}
+
+TEST(ServerFeedTest, AReadingRemovesWhatItLacks) {
+  ServerFeed Feed(absl::Seconds(2));
+  Feed.apply({entryOf("a", 5), entryOf("b", 12)}, Start);
+  const auto Changes = Feed.replaceAll({entryOf("c", 7)}, 10, Start);
+  // b is newer than the reading.
+  EXPECT_EQ(Feed.size(), 2u);
+  EXPECT_EQ(Changes.size(), 2u);
+}
+
+TEST(ServerFeedTest, LapsedEntriesMayReturnAfterTheSource) {
+  ServerFeed Feed(absl::Seconds(2));
+  Feed.apply({entryOf("a", 5), entryOf("b", 5), entryOf("d", 5, true)}, Start);
+  Feed.sourceLost(Start);
+  EXPECT_EQ(Feed.nextExpiry(), absl::InfiniteFuture());
+  const TimePoint Back = Start + absl::Seconds(9);
+  Feed.sourceBack(Back);
+  // The one that was leaving is gone at once.
+  EXPECT_EQ(Feed.replaceAll({}, 10, Back).size(), 1u);
+  EXPECT_EQ(Feed.size(), 2u);
+  Feed.apply({entryOf("a", 11)}, Back + absl::Seconds(1));
+  EXPECT_TRUE(Feed.expire(Back + absl::Milliseconds(1999)).empty());
+  const auto Gone = Feed.expire(Back + absl::Seconds(2));
+  ASSERT_EQ(Gone.size(), 1u);
+  EXPECT_EQ(Gone[0].Id, "b");
+  EXPECT_EQ(Feed.size(), 1u);
+}
+
+// Whatever the times of requests and wishes, no window of any alignment holds
+// more extra attempts than the limits allow for the requests in it, in the
+// window before, or in the one half a window before.
+RC_GTEST_PROP(ExtraLoadBudgetTest, HoldsInEveryWindow, ()) {
+  ExtraLoadLimits Limits;
+  Limits.Share = 0.2;
+  Limits.Base = 12;
+  Limits.Window = absl::Seconds(10);
+  const int Instances = *rc::gen::inRange(1, 5);
+  std::vector<ExtraLoadBudget> Budgets(static_cast<std::size_t>(Instances),
+                                       ExtraLoadBudget(Limits));
+  std::vector<TimePoint> Requests;
+  std::vector<TimePoint> Extra;
+  TimePoint Now = Start;
+  for (int Step = 0; Step < 600; ++Step) {
+    Now += absl::Milliseconds(*rc::gen::inRange(0, 120));
+    ExtraLoadBudget &B =
+        Budgets[*rc::gen::inRange<std::size_t>(0, Budgets.size())];
+    if (*rc::gen::inRange(0, 3) == 0) {
+      B.earn(Now);
+      Requests.push_back(Now);
+    } else if (B.spend(0, Instances, Now)) {
+      Extra.push_back(Now);
+    }
+  }
+  auto CountIn = [](const std::vector<TimePoint> &Times, TimePoint From,
+                    TimePoint To) {
+    return std::upper_bound(Times.begin(), Times.end(), To) -
+           std::upper_bound(Times.begin(), Times.end(), From);
+  };
+  for (TimePoint End : Extra) {
+    const TimePoint From = End - Limits.Window;
+    const auto Owed = CountIn(Requests, From, End);
+    RC_ASSERT(static_cast<double>(CountIn(Extra, From, End)) <=
+              Limits.Share * static_cast<double>(Owed) + Limits.Base);
+  }
+}
