Reconnect to a server that did not answer in time before using it again

Cause: behind a zone cut each remote server rested and then got a real request again, which only a hedge saved. TimedOut now counts like NotSent: the server is unreachable until a connection in the background is set up. Test red before. Kept since it takes real requests out of probing.

--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -80,7 +80,8 @@
                 auto Known = Links.find(Key);
                 if (Known != Links.end()) {
                   Link &Mine = Known->second;
-                  if (End.Result == AttemptResult::NotSent) {
+                  if (End.Result == AttemptResult::NotSent ||
+                      End.Result == AttemptResult::TimedOut) {
                     Mine.Server->Unreachable = true;
                     reconnectLater(Mine);
                   } else if (End.Result == AttemptResult::Answered) {
