Give up a shard whose servers are all out of reach at once

Ruled out: the budget (never-sent attempts do not draw on it). Now each is tried once; while all are out of reach the part is given up unsent, and a survey with too few shards in reach is refused unrun with Retry-After.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -276,8 +276,9 @@
 }
 
 bool BackendPool::usable() const {
-  return std::any_of(Servers.begin(), Servers.end(),
-                     [](const auto &Item) { return Item.second->Present; });
+  return std::any_of(Servers.begin(), Servers.end(), [](const auto &Item) {
+    return Item.second->Present && !Item.second->Unreachable;
+  });
 }
 
 } // namespace quetzallead
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -74,7 +74,8 @@
   /// changed has been carried out.
   void serveQueue(TimePoint Now);
 
-  /// True if there is a server that may receive work.
+  /// True if there is a server that may receive work and is not known to be
+  /// out of reach.
   bool usable() const;
   std::size_t queueLength() const { return Queue.size(); }
   const std::map<std::string, ServerRef> &servers() const { return Servers; }
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -48,8 +48,12 @@
     finish(std::move(V), Out);
     return;
   }
-  for (std::size_t I = 0; I < Parts.size() && !Answered; ++I)
-    place(I, Now, Out);
+  for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
+    if (Plan.Targets[I].Pool->usable())
+      place(I, Now, Out);
+    else
+      giveUp(I);
+  }
   checkEnd(Now, Out);
   rearm();
 }
--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -6,6 +6,10 @@
 /// A kept connection that the server ends within this is not used any more:
 /// the request could cross the server's close.
 static constexpr Duration KeepMargin = absl::Milliseconds(300);
+/// An attempt without an answer for this long was sent to a server that is not
+/// there; a shorter one may just have had little time. Servers pause for a
+/// small part of it.
+static constexpr Duration SilenceTime = absl::Milliseconds(400);
 /// Wait before a server that cannot be reached is tried again, doubled each
 /// time; a server that restarts is back within a second or two.
 static constexpr Duration FirstReconnect = absl::Milliseconds(100);
@@ -75,27 +79,34 @@
   if (C == nullptr)
     C = open(L);
   const PoolServer *Key = Server.get();
-  C->exchange(std::move(Request),
-              [this, Key, Done = std::move(Done)](HttpExchangeEnd End) {
-                auto Known = Links.find(Key);
-                if (Known != Links.end()) {
-                  Link &Mine = Known->second;
-                  if (End.Result == AttemptResult::NotSent ||
-                      End.Result == AttemptResult::TimedOut) {
-                    Mine.Server->Unreachable = true;
-                    reconnectLater(Mine);
-                  } else if (End.Result == AttemptResult::Answered) {
-                    Mine.Server->Unreachable = false;
-                    Mine.ReconnectWait = absl::ZeroDuration();
-                  }
-                  count(Mine);
-                }
-                Done(std::move(End));
-              });
+  const TimePoint Sent = LoopTimers::now();
+  C->exchange(std::move(Request), [this, Key, Sent, Done = std::move(Done)](
+                                      HttpExchangeEnd End) {
+    onEnded(Key, End.Result, LoopTimers::now() - Sent);
+    Done(std::move(End));
+  });
   count(L);
   return C;
 }
 
+void BackendClient::onEnded(const PoolServer *Key, AttemptResult Result,
+                            Duration Elapsed) {
+  auto Known = Links.find(Key);
+  if (Known == Links.end())
+    return;
+  Link &L = Known->second;
+  const bool Silent =
+      Result == AttemptResult::TimedOut && Elapsed >= SilenceTime;
+  if (Result == AttemptResult::NotSent || Silent) {
+    L.Server->Unreachable = true;
+    reconnectLater(L);
+  } else if (Result == AttemptResult::Answered) {
+    L.Server->Unreachable = false;
+    L.ReconnectWait = absl::ZeroDuration();
+  }
+  count(L);
+}
+
 void BackendClient::prepare(const ServerRef &Server) {
   Link &L = link(Server);
   if (L.Connections.empty())
--- a/src/relay/BackendClient.h
+++ b/src/relay/BackendClient.h
@@ -38,6 +38,7 @@
   std::shared_ptr<HttpConnection> open(Link &L);
   std::shared_ptr<HttpConnection> takeIdle(Link &L, TimePoint Now);
   static void count(Link &L);
+  void onEnded(const PoolServer *Key, AttemptResult Result, Duration Elapsed);
   void onClosed(const PoolServer *Key, const HttpConnection *Gone,
                 bool WasConnected);
   void reconnectLater(Link &L);
--- a/tests/relay/BackendClientTest.cpp
+++ b/tests/relay/BackendClientTest.cpp
@@ -125,6 +125,8 @@
 // not be what finds out whether it is back.
 TEST_F(BackendClientTest, SilentServerIsConnectedToBeforeItIsUsedAgain) {
   EXPECT_EQ(exchange(absl::Milliseconds(50)).Result, AttemptResult::TimedOut);
+  EXPECT_FALSE(Server->Unreachable);
+  EXPECT_EQ(exchange(absl::Milliseconds(600)).Result, AttemptResult::TimedOut);
   EXPECT_TRUE(Server->Unreachable);
   runUntil([&] { return !Server->Unreachable; });
   EXPECT_EQ(Server->IdleConnections, 1);
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -172,3 +172,37 @@
     EXPECT_EQ(W.Sent.size(), Asked);
   }
 }
+
+// A shard whose servers all refuse connections: each request tried them in
+// turn without end, over a hundred connections a request.
+TEST(RelayRequestTest, ServersThatCannotBeReachedAreTriedOnceEach) {
+  RelayWorld W(10);
+  W.Taken.LeastCoverage = 0.9;
+  W.begin();
+  for (std::size_t Part = 1; Part < 10; ++Part)
+    W.end(Part, AttemptResult::Answered);
+  for (std::size_t Attempt : {std::size_t{0}, std::size_t{10}, std::size_t{11}}) {
+    ASSERT_LT(Attempt, W.Sent.size());
+    W.serverOf(Attempt)->Unreachable = true;
+    W.end(Attempt, AttemptResult::NotSent);
+    W.wait(absl::Milliseconds(1));
+  }
+  ASSERT_TRUE(W.answered());
+  EXPECT_EQ(W.Verdict->Missing, 1u);
+  EXPECT_EQ(W.Sent.size(), 12u);
+}
+
+TEST(RelayRequestTest, SurveyWithTooFewShardsInReachIsRefusedUnsent) {
+  RelayWorld W(4, 1);
+  W.begin();
+  for (std::size_t Part = 0; Part < 2; ++Part) {
+    W.serverOf(Part)->Unreachable = true;
+    W.end(Part, AttemptResult::NotSent);
+  }
+  W.Sent.clear();
+  W.begin();
+  ASSERT_TRUE(W.answered());
+  EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Unservable);
+  EXPECT_GT(W.Verdict->RetryAfter, absl::ZeroDuration());
+  EXPECT_TRUE(W.Sent.empty());
+}
--- a/tests/relay/RelayWorld.h
+++ b/tests/relay/RelayWorld.h
@@ -79,6 +79,9 @@
   }
 
   bool answered() const { return Verdict.has_value(); }
+  const ServerRef &serverOf(std::size_t Attempt) const {
+    return Request->serverOf(Attempt);
+  }
 
   TimePoint Now = absl::UnixEpoch() + absl::Hours(1);
   RouteSheet Sheet;
