Refuse surveys that cannot be in time on arrival; leave out shards that cannot

Cause: nothing looked at the expected delay before it sent. Now a pool tells the expected delay from in flight, reported load and queue; parts without hope are not asked, surveys with too few hopeful parts are refused unrun with that delay as Retry-After; a server that reports a queue gets one at a time from each instance; late waiters go behind those in time.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -45,10 +45,9 @@
 
 void BackendPool::upsert(const DiscoveredServer &Info, TimePoint Now) {
   ServerRef &S = Servers[Info.Id];
-  const bool NewLife =
-      S == nullptr || S->Info.Address != Info.Address ||
-      (Info.StartedAtMillis != 0 &&
-       S->Info.StartedAtMillis != Info.StartedAtMillis);
+  const bool NewLife = S == nullptr || S->Info.Address != Info.Address ||
+                       (Info.StartedAtMillis != 0 &&
+                        S->Info.StartedAtMillis != Info.StartedAtMillis);
   if (NewLife) {
     if (S != nullptr)
       S->Present = false;
@@ -97,17 +96,27 @@
   return Now < S.WarmAt ? std::max(Value, ColdSlowness) : Value;
 }
 
-double BackendPool::score(const PoolServer &S, const RouteStats &Stats,
-                          TimePoint Now) const {
+int BackendPool::limit(const PoolServer &S, TimePoint Now) const {
+  const bool Queues = Now - S.ReportedAt < ReportLife &&
+                      S.Reported.Queued >= std::max(1, S.Info.Slots);
+  return Queues ? 1 : ConnectionShare;
+}
+
+Duration BackendPool::completion(const PoolServer &S, const RouteStats &Stats,
+                                 TimePoint Now) const {
   const Duration Work = Stats.expected() * slowness(S, Now);
-  const double Fresh =
-      1.0 - absl::FDivDuration(Now - S.ReportedAt, ReportLife);
+  const double Fresh = 1.0 - absl::FDivDuration(Now - S.ReportedAt, ReportLife);
   double Others = 0;
   if (Fresh > 0)
     Others =
         Fresh * std::max(0, S.Reported.Busy + S.Reported.Queued - S.inFlight());
   const double Ahead = (S.inFlight() + Others) / std::max(1, S.Info.Slots);
-  Duration Expected = Work * (1.0 + Ahead);
+  return Work * (1.0 + Ahead);
+}
+
+double BackendPool::score(const PoolServer &S, const RouteStats &Stats,
+                          TimePoint Now) const {
+  Duration Expected = completion(S, Stats, Now);
   if (S.Info.Zone != Zone)
     Expected += CrossZonePenalty;
   if (S.IdleConnections <= 0)
@@ -127,7 +136,7 @@
     if (T != Tier::Sound && !Request.LastResort)
       continue;
     AnyEligible = true;
-    if (S->inFlight() >= ConnectionShare)
+    if (S->inFlight() >= limit(*S, Now))
       continue;
     const double Spread =
         1.0 + ScoreSpread * (static_cast<double>(Engine()) / 4294967296.0);
@@ -144,8 +153,7 @@
 
 void BackendPool::take(PoolServer &S, const RouteStats &Stats,
                        TimePoint Now) const {
-  const Duration Expected =
-      Stats.expected() * slowness(S, Now) * OverdueRatio;
+  const Duration Expected = Stats.expected() * slowness(S, Now) * OverdueRatio;
   const Duration Patience = std::max(Expected, Stats.hedgeDelay());
   S.Pending.push_back(PendingAttempt{Now, Now + Patience});
 }
@@ -172,25 +180,23 @@
 }
 
 void BackendPool::abandon(std::uint64_t WaitId) {
-  auto Found = std::find_if(Queue.begin(), Queue.end(), [&](const Waiter &W) {
-    return W.Id == WaitId;
-  });
+  auto Found = std::find_if(Queue.begin(), Queue.end(),
+                            [&](const Waiter &W) { return W.Id == WaitId; });
   if (Found != Queue.end())
     Queue.erase(Found);
 }
 
 static void rest(PoolServer &S, TimePoint Now) {
   const int Doublings = std::clamp(S.Failures - 1, 0, 8);
-  S.RestUntil =
-      Now + std::min(LongestRest,
-                     FirstRest * static_cast<double>(1 << Doublings));
+  S.RestUntil = Now + std::min(LongestRest,
+                               FirstRest * static_cast<double>(1 << Doublings));
 }
 
 static void learnSlowness(PoolServer &S, double Before, double Ratio,
                           TimePoint Now) {
-  S.Slowness = std::clamp(Before * (1 - SlownessWeight) +
-                              Ratio * SlownessWeight,
-                          LeastSlowness, MostSlowness);
+  S.Slowness =
+      std::clamp(Before * (1 - SlownessWeight) + Ratio * SlownessWeight,
+                 LeastSlowness, MostSlowness);
   S.SlownessAt = Now;
   S.SlowStreak = Ratio > SlowRatio ? S.SlowStreak + 1 : 0;
 }
@@ -256,23 +262,47 @@
   learn(*Server, Report, Stats, Now);
 }
 
-void BackendPool::serveQueue(TimePoint Now) {
-  for (std::size_t I = 0; I < Queue.size();) {
+bool BackendPool::serveOne(bool Late, TimePoint Now) {
+  for (auto It = Queue.begin(); It != Queue.end(); ++It) {
+    if ((It->Request.UsefulUntil <= Now) != Late)
+      continue;
     bool AnyEligible = false;
-    ServerRef S = choose(Queue[I].Request, Now, AnyEligible);
-    if (S == nullptr && AnyEligible) {
-      // Waiters differ in the servers they exclude.
-      ++I;
+    ServerRef S = choose(It->Request, Now, AnyEligible);
+    // Waiters differ in the servers they exclude.
+    if (S == nullptr && AnyEligible)
       continue;
-    }
     if (S != nullptr)
-      take(*S, *Queue[I].Request.Stats, Now);
-    PlaceWaiter Notify = std::move(Queue[I].Notify);
-    Queue.erase(Queue.begin() + static_cast<std::ptrdiff_t>(I));
+      take(*S, *It->Request.Stats, Now);
+    PlaceWaiter Notify = std::move(It->Notify);
+    Queue.erase(It);
     Notify(S, Now);
-    // The waiter may have changed the queue.
-    I = 0;
+    return true;
+  }
+  return false;
+}
+
+void BackendPool::serveQueue(TimePoint Now) {
+  // The one that is told may change the queue: each step begins anew.
+  while (serveOne(false, Now) || serveOne(true, Now))
+    ;
+}
+
+Duration BackendPool::expectedDelay(const RouteStats &Stats,
+                                    TimePoint Now) const {
+  Duration Best = absl::InfiniteDuration();
+  int InFlight = 0;
+  for (const auto &[Id, S] : Servers) {
+    if (!S->Present || S->Unreachable)
+      continue;
+    InFlight += S->inFlight();
+    Best = std::min(Best, completion(*S, Stats, Now));
   }
+  if (Queue.empty() || Best == absl::InfiniteDuration())
+    return Best;
+  // The queue moves each time one of those in flight is answered.
+  const double Turns =
+      static_cast<double>(Queue.size()) / std::max(1, InFlight);
+  return Best * (1.0 + Turns);
 }
 
 bool BackendPool::usable() const {
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -22,6 +22,9 @@
   const RouteStats *Stats = nullptr;
   /// 0 goes first in the queue.
   int Rank = 0;
+  /// An answer after this is worth little: those that can still be in time go
+  /// first.
+  TimePoint UsefulUntil = absl::InfiniteFuture();
   /// Servers that must not be chosen.
   std::vector<ServerRef> Excluded;
   /// If false, a server that is resting or overdue is not chosen.
@@ -48,7 +51,9 @@
 /// Load patterns it answers: servers of different speed, servers that pause
 /// for a moment, that turn slow for a while or fall silent, and bursts. The
 /// choice is by expected time to the answer; a server whose oldest attempt is
-/// overdue gets nothing more until it speaks while another one is there.
+/// overdue gets nothing more until it speaks while another one is there. A
+/// server that says that requests wait in its own queue gets one at a time from
+/// each instance, so that the rest waits here, in the order of their worth.
 /// Not thread-safe.
 class BackendPool {
 public:
@@ -77,6 +82,9 @@
   /// True if there is a server that may receive work and is not known to be
   /// out of reach.
   bool usable() const;
+  /// Time until a request that came now would be answered; infinite if there
+  /// is no server in reach.
+  Duration expectedDelay(const RouteStats &Stats, TimePoint Now) const;
   std::size_t queueLength() const { return Queue.size(); }
   const std::map<std::string, ServerRef> &servers() const { return Servers; }
 
@@ -96,6 +104,10 @@
   /// Null with \p AnyEligible telling whether waiting may help.
   ServerRef choose(const PlaceRequest &Request, TimePoint Now,
                    bool &AnyEligible);
+  int limit(const PoolServer &S, TimePoint Now) const;
+  Duration completion(const PoolServer &S, const RouteStats &Stats,
+                      TimePoint Now) const;
+  bool serveOne(bool Late, TimePoint Now);
   void take(PoolServer &S, const RouteStats &Stats, TimePoint Now) const;
   void learn(PoolServer &S, const AttemptReport &Report, RouteStats &Stats,
              TimePoint Now);
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -14,6 +14,9 @@
 static constexpr Duration BudgetWait = absl::Milliseconds(10);
 /// Wait before a part whose servers all refused is asked again.
 static constexpr Duration RefusalWait = absl::Milliseconds(8);
+/// Part of an expected delay that must fit into the time that is left: the
+/// expectation is within a factor of two of what comes.
+static constexpr double Doubt = 0.5;
 /// Told to callers of requests that no server can take. A server that starts
 /// registers within about this time.
 static constexpr Duration UnservableRetryAfter = absl::Milliseconds(500);
@@ -38,18 +41,32 @@
 void RelayRequest::start(TimePoint Now, RelayActions &Out) {
   for (RelayTarget &T : Plan.Targets)
     T.Budget->earn(Now);
-  const auto Usable = static_cast<std::size_t>(
-      std::count_if(Plan.Targets.begin(), Plan.Targets.end(),
-                    [](const RelayTarget &T) { return T.Pool->usable(); }));
-  if (Usable < neededParts()) {
+  // A survey's parts are worth little once its objective has passed; a single
+  // answer is delivered late rather than not at all.
+  const TimePoint By = survey() ? Plan.AnswerBy : Plan.Deadline;
+  std::vector<bool> Hopeful;
+  Duration LongestDelay = absl::ZeroDuration();
+  std::size_t HopefulCount = 0;
+  for (const RelayTarget &T : Plan.Targets) {
+    const Duration Delay = T.Pool->expectedDelay(*Plan.Stats, Now);
+    Hopeful.push_back(Delay != absl::InfiniteDuration() &&
+                      Now + Delay * Doubt <= By);
+    if (Hopeful.back())
+      ++HopefulCount;
+    else if (Delay != absl::InfiniteDuration())
+      LongestDelay = std::max(LongestDelay, Delay);
+  }
+  if (HopefulCount < neededParts()) {
     RelayVerdict V;
-    V.Outcome = RelayOutcome::Unservable;
-    V.RetryAfter = UnservableRetryAfter;
+    V.Outcome = LongestDelay > absl::ZeroDuration() ? RelayOutcome::Refused
+                                                    : RelayOutcome::Unservable;
+    V.RetryAfter = V.Outcome == RelayOutcome::Refused ? LongestDelay
+                                                      : UnservableRetryAfter;
     finish(std::move(V), Out);
     return;
   }
   for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
-    if (Plan.Targets[I].Pool->usable())
+    if (Hopeful[I])
       place(I, Now, Out);
     else
       giveUp(I);
@@ -64,6 +81,7 @@
   Ask.Stats = Plan.Stats.get();
   Ask.Rank = Plan.Taken->Rank;
   Ask.Excluded = P.Tried;
+  Ask.UsefulUntil = Plan.AnswerBy;
   Place Given = Plan.Targets[Index].Pool->acquire(
       Ask, true,
       [this, Index](const ServerRef &Server, TimePoint When) {
@@ -133,8 +151,9 @@
   Part &P = Parts[Index];
   if (End.Result != AttemptResult::Answered)
     return false;
-  const bool Good = survey() ? isSuccess(*End.Answer) && !End.Answer->Stamp.empty()
-                             : !isServerFault(*End.Answer);
+  const bool Good = survey()
+                        ? isSuccess(*End.Answer) && !End.Answer->Stamp.empty()
+                        : !isServerFault(*End.Answer);
   if (!Good && (survey() || repeatable())) {
     P.Failure = End.Answer;
     return false;
@@ -313,8 +332,8 @@
     return V;
   }
   V.Outcome = RelayOutcome::Refused;
-  V.RetryAfter = std::max<Duration>(absl::Milliseconds(20),
-                                    Plan.Stats->expected() * 2);
+  V.RetryAfter =
+      std::max<Duration>(absl::Milliseconds(20), Plan.Stats->expected() * 2);
   return V;
 }
 
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -48,9 +48,9 @@
   std::vector<ServerRef> Came;
   for (const FeedChange &Change : Changes) {
     auto Known = ServiceOf.find(Change.Id);
-    const bool Moves = Known != ServiceOf.end() &&
-                       (!Change.Server ||
-                        Change.Server->Service != Known->second);
+    const bool Moves =
+        Known != ServiceOf.end() &&
+        (!Change.Server || Change.Server->Service != Known->second);
     if (Moves) {
       service(Known->second).Pool->remove(Change.Id, Now);
       ServiceOf.erase(Known);
--- a/src/core/relay/RelayVerdict.h
+++ b/src/core/relay/RelayVerdict.h
@@ -12,13 +12,13 @@
 
 /// What a request ends with.
 enum class RelayOutcome {
-  Relayed,     ///< The answer of a backend server, unchanged.
-  Merged,      ///< A survey's answer.
-  Refused,     ///< Not run, and never will be.
-  Unservable,  ///< Not run: no backend server can take it.
-  Failed,      ///< May have run; no answer can be had.
-  TimedOut,    ///< May have run; its time is over.
-  CallerLeft,  ///< Nobody waits for an answer.
+  Relayed,    ///< The answer of a backend server, unchanged.
+  Merged,     ///< A survey's answer.
+  Refused,    ///< Not run, and never will be.
+  Unservable, ///< Not run: no backend server can take it.
+  Failed,     ///< May have run; no answer can be had.
+  TimedOut,   ///< May have run; its time is over.
+  CallerLeft, ///< Nobody waits for an answer.
 };
 
 inline constexpr NamedValue<RelayOutcome> RelayOutcomeNames[] = {
--- a/src/core/relay/SplitPicker.cpp
+++ b/src/core/relay/SplitPicker.cpp
@@ -11,8 +11,7 @@
   for (std::size_t I = 0; I < R.Services.size(); ++I) {
     const RouteService &S = R.Services[I];
     auto Known = Credit.find(S.Name);
-    const double Value =
-        (Known == Credit.end() ? 0 : Known->second) + S.Weight;
+    const double Value = (Known == Credit.end() ? 0 : Known->second) + S.Weight;
     Next[S.Name] = Value;
     Total += S.Weight;
     if (S.Weight > 0 && (BestCredit == 0 || Value > BestCredit)) {
--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -26,14 +26,14 @@
 }
 
 void BackendClient::count(Link &L) {
-  L.Server->IdleConnections = static_cast<int>(std::count_if(
-      L.Connections.begin(), L.Connections.end(),
-      [](const auto &C) { return C->ready() && !C->busy(); }));
+  L.Server->IdleConnections = static_cast<int>(
+      std::count_if(L.Connections.begin(), L.Connections.end(),
+                    [](const auto &C) { return C->ready() && !C->busy(); }));
 }
 
 std::shared_ptr<HttpConnection> BackendClient::open(Link &L) {
-  auto C = std::make_shared<HttpConnection>(Loop, Timers, L.Server->Info.Address,
-                                            HttpConnectionLimits());
+  auto C = std::make_shared<HttpConnection>(
+      Loop, Timers, L.Server->Info.Address, HttpConnectionLimits());
   const PoolServer *Key = L.Server.get();
   const HttpConnection *Raw = C.get();
   C->OnReady = [this, Key] {
@@ -80,11 +80,11 @@
     C = open(L);
   const PoolServer *Key = Server.get();
   const TimePoint Sent = LoopTimers::now();
-  C->exchange(std::move(Request), [this, Key, Sent, Done = std::move(Done)](
-                                      HttpExchangeEnd End) {
-    onEnded(Key, End.Result, LoopTimers::now() - Sent);
-    Done(std::move(End));
-  });
+  C->exchange(std::move(Request),
+              [this, Key, Sent, Done = std::move(Done)](HttpExchangeEnd End) {
+                onEnded(Key, End.Result, LoopTimers::now() - Sent);
+                Done(std::move(End));
+              });
   count(L);
   return C;
 }
@@ -137,11 +137,11 @@
 void BackendClient::reconnectLater(Link &L) {
   if (L.Reconnect != nullptr || !L.Server->Present)
     return;
-  L.ReconnectWait = std::clamp(L.ReconnectWait * 2, FirstReconnect,
-                               LongestReconnect);
+  L.ReconnectWait =
+      std::clamp(L.ReconnectWait * 2, FirstReconnect, LongestReconnect);
   const PoolServer *Key = L.Server.get();
-  L.Reconnect = Timers.at(
-      LoopTimers::now() + L.ReconnectWait, [this, Key](TimePoint) {
+  L.Reconnect =
+      Timers.at(LoopTimers::now() + L.ReconnectWait, [this, Key](TimePoint) {
         auto Known = Links.find(Key);
         if (Known == Links.end())
           return;
--- a/src/relay/BackendClient.h
+++ b/src/relay/BackendClient.h
@@ -18,9 +18,8 @@
   BackendClient(boost::asio::io_context &Loop, LoopTimers &Timers);
 
   /// Sends \p Request to \p Server; the connection may be closed to cancel it.
-  std::shared_ptr<HttpConnection> send(const ServerRef &Server,
-                                       HttpExchange Request,
-                                       HttpExchangeDone Done);
+  std::shared_ptr<HttpConnection>
+  send(const ServerRef &Server, HttpExchange Request, HttpExchangeDone Done);
   /// Opens a first connection ahead of the first request.
   void prepare(const ServerRef &Server);
   /// Closes the idle connections of servers that are gone.
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -114,9 +114,9 @@
   if (Request->is_header_done() && !Request->is_done()) {
     arm(Limits.IdleTime, 408);
     const auto Expect = Request->get()[http::field::expect];
-    if (!HeaderSeen && absl::EqualsIgnoreCase(
-                           absl::string_view(Expect.data(), Expect.size()),
-                           "100-continue")) {
+    if (!HeaderSeen &&
+        absl::EqualsIgnoreCase(absl::string_view(Expect.data(), Expect.size()),
+                               "100-continue")) {
       static const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
       // The caller waits for these few bytes; they always fit.
       Socket.write_some(asio::buffer(Continue), Fault);
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -93,29 +93,28 @@
     Writing = false;
     return;
   }
-  asio::async_write(
-      Socket, asio::buffer(Current.Bytes) + Sent,
-      [Self](const error_code &WriteFault, std::size_t More) {
-        Self->AnySent = Self->AnySent || More > 0;
-        Self->Writing = false;
-        // After a write fault an answer may still be readable; the pending
-        // read tells.
-        if (WriteFault && !Self->AnySent)
-          Self->fail(AttemptResult::NotSent);
-      });
+  asio::async_write(Socket, asio::buffer(Current.Bytes) + Sent,
+                    [Self](const error_code &WriteFault, std::size_t More) {
+                      Self->AnySent = Self->AnySent || More > 0;
+                      Self->Writing = false;
+                      // After a write fault an answer may still be readable;
+                      // the pending read tells.
+                      if (WriteFault && !Self->AnySent)
+                        Self->fail(AttemptResult::NotSent);
+                    });
 }
 
 void HttpConnection::read() {
   auto Self = shared_from_this();
-  Socket.async_read_some(
-      asio::buffer(Buffer), [Self](const error_code &Fault, std::size_t Count) {
-        if (Self->Stage != ConnectionStage::Open)
-          return;
-        if (Fault)
-          Self->onReadEnd(Fault == asio::error::eof);
-        else
-          Self->onBytes(Count);
-      });
+  Socket.async_read_some(asio::buffer(Buffer),
+                         [Self](const error_code &Fault, std::size_t Count) {
+                           if (Self->Stage != ConnectionStage::Open)
+                             return;
+                           if (Fault)
+                             Self->onReadEnd(Fault == asio::error::eof);
+                           else
+                             Self->onBytes(Count);
+                         });
 }
 
 void HttpConnection::onReadEnd(bool Clean) {
--- a/src/relay/KeyFollower.cpp
+++ b/src/relay/KeyFollower.cpp
@@ -47,9 +47,10 @@
     Handlers.OnLost(Outcome);
   }
   const int Doublings = std::min(Failures++, MostDoublings);
-  const Duration Longest = std::min(
-      LongestPause, FirstPause * static_cast<double>(1 << Doublings));
-  const double Spread = 0.5 + 0.5 * (static_cast<double>(Engine()) / 4294967296.0);
+  const Duration Longest =
+      std::min(LongestPause, FirstPause * static_cast<double>(1 << Doublings));
+  const double Spread =
+      0.5 + 0.5 * (static_cast<double>(Engine()) / 4294967296.0);
   // What a watch that was cut has missed may lie in history that the store has
   // dropped, and another watch would wait for the next change: only a reading
   // tells.
--- a/src/relay/KeyFollower.h
+++ b/src/relay/KeyFollower.h
@@ -35,9 +35,9 @@
 
 /// Keeps up with the keys of a prefix: reads all of them, then watches for
 /// changes from the revision at which the reading began, and reads again when
-/// the store has forgotten that history or a watch was cut. Failures are followed by growing,
-/// spread pauses, so that a fleet that starts together does not keep a store
-/// down that is coming back.
+/// the store has forgotten that history or a watch was cut. Failures are
+/// followed by growing, spread pauses, so that a fleet that starts together
+/// does not keep a store down that is coming back.
 class KeyFollower {
 public:
   KeyFollower(RevisionedStore &Store, LoopTimers &Timers, FollowOptions Options,
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -96,9 +96,9 @@
 
 void RelayDaemon::accept(Acceptor &Listener, CallerHandlers &Handlers,
                          bool Caller) {
-  Listener.async_accept([this, &Listener, &Handlers, Caller](
-                            const error_code &Fault,
-                            asio::ip::tcp::socket Socket) {
+  Listener.async_accept([this, &Listener, &Handlers,
+                         Caller](const error_code &Fault,
+                                 asio::ip::tcp::socket Socket) {
     if (Fault == asio::error::operation_aborted)
       return;
     if (Fault) {
@@ -106,10 +106,10 @@
                {{"reason", Fault.message()}});
       auto Pause = std::make_shared<asio::steady_timer>(
           Loop, absl::ToChronoNanoseconds(AcceptPause));
-      Pause->async_wait([this, &Listener, &Handlers, Caller,
-                         Pause](const error_code &) {
-        accept(Listener, Handlers, Caller);
-      });
+      Pause->async_wait(
+          [this, &Listener, &Handlers, Caller, Pause](const error_code &) {
+            accept(Listener, Handlers, Caller);
+          });
       return;
     }
     auto Session =
@@ -196,7 +196,8 @@
       Newest = &Item;
   if (Newest == nullptr)
     return;
-  auto Decoded = capture([&] { return Surroundings.DecodeSheet(Newest->Value); });
+  auto Decoded =
+      capture([&] { return Surroundings.DecodeSheet(Newest->Value); });
   if (auto *Fault = std::get_if<Error>(&Decoded)) {
     logEvent(LogLevel::Error, "sheet_refused", {{"reason", Fault->text()}});
     return;
@@ -230,9 +231,8 @@
   ExpiryTimer.reset();
   if (Due == absl::InfiniteFuture())
     return;
-  ExpiryTimer = Timers.at(Due, [this](TimePoint Now) {
-    takeServers(Feed.expire(Now));
-  });
+  ExpiryTimer =
+      Timers.at(Due, [this](TimePoint Now) { takeServers(Feed.expire(Now)); });
 }
 
 bool RelayDaemon::ready() const {
@@ -302,22 +302,22 @@
                      Verdict.Answers[0]->Status < 500) ||
                     Verdict.Outcome == RelayOutcome::Merged;
   if (!Fine)
-    logEvent(LogLevel::Info, "request_failed",
-             {{"request", Call.RequestId},
-              {"route", Request.plan().Taken->Name},
-              {"outcome", nameOf(RelayOutcomeNames, Verdict.Outcome)},
-              {"attempts", Request.attempts()},
-              {"ms", absl::ToInt64Milliseconds(LoopTimers::now() -
-                                               Call.Arrived)}});
+    logEvent(
+        LogLevel::Info, "request_failed",
+        {{"request", Call.RequestId},
+         {"route", Request.plan().Taken->Name},
+         {"outcome", nameOf(RelayOutcomeNames, Verdict.Outcome)},
+         {"attempts", Request.attempts()},
+         {"ms", absl::ToInt64Milliseconds(LoopTimers::now() - Call.Arrived)}});
   if (Verdict.Missing > 0)
-    logEvent(LogLevel::Info, "parts_missing",
-             {{"request", Call.RequestId},
-              {"route", Request.plan().Taken->Name},
-              {"missing", Request.describeMissing()},
-              {"hedge_ms", absl::ToDoubleMilliseconds(
-                               Request.plan().Stats->hedgeDelay())},
-              {"ms", absl::ToInt64Milliseconds(LoopTimers::now() -
-                                               Call.Arrived)}});
+    logEvent(
+        LogLevel::Info, "parts_missing",
+        {{"request", Call.RequestId},
+         {"route", Request.plan().Taken->Name},
+         {"missing", Request.describeMissing()},
+         {"hedge_ms",
+          absl::ToDoubleMilliseconds(Request.plan().Stats->hedgeDelay())},
+         {"ms", absl::ToInt64Milliseconds(LoopTimers::now() - Call.Arrived)}});
   const bool KeepOpen = Caller.mayKeepOpen();
   Caller.answer(encodeAnswer(Verdict, Request.plan().Taken->RecordsWanted,
                              Surroundings.Headers, Caller.headRequest(),
--- a/src/relay/RelayMain.cpp
+++ b/src/relay/RelayMain.cpp
@@ -31,11 +31,10 @@
 
 int main(int ArgCount, char **Args) {
   options::options_description Known("Options");
-  Known.add_options()("help", "print this help")("version",
-                                                 "print the version")(
-      "settings", options::value<std::string>(),
-      "settings file, JSON with comments")("check-settings",
-                                           "check the settings and exit");
+  Known.add_options()("help", "print this help")(
+      "version", "print the version")("settings", options::value<std::string>(),
+                                      "settings file, JSON with comments")(
+      "check-settings", "check the settings and exit");
   options::variables_map Given;
   try {
     options::store(options::parse_command_line(ArgCount, Args, Known), Given);
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -33,15 +33,13 @@
   auto Range = Fields.equal_range(http::field::connection);
   for (auto It = Range.first; It != Range.second; ++It)
     for (absl::string_view Item : absl::StrSplit(view(It->value()), ','))
-      Names.push_back(
-          absl::AsciiStrToLower(absl::StripAsciiWhitespace(Item)));
+      Names.push_back(absl::AsciiStrToLower(absl::StripAsciiWhitespace(Item)));
   return Names;
 }
 
 /// The end-to-end headers of \p Fields but for those called \p Left.
-static std::string
-endToEndHeaders(const http::fields &Fields,
-                const std::vector<absl::string_view> &Left) {
+static std::string endToEndHeaders(const http::fields &Fields,
+                                   const std::vector<absl::string_view> &Left) {
   const std::vector<std::string> Named = namedByConnection(Fields);
   std::string Out;
   for (const auto &Field : Fields) {
@@ -71,9 +69,8 @@
     Call.TimeLeft = absl::Milliseconds(Millis);
   Call.HasBody = Request.count(http::field::content_length) > 0 ||
                  Request.count(http::field::transfer_encoding) > 0;
-  Call.Headers = endToEndHeaders(
-      Request, {Names.TimeLeft, Names.ExpectedServer, "content-length",
-                "expect", "host"});
+  Call.Headers = endToEndHeaders(Request, {Names.TimeLeft, Names.ExpectedServer,
+                                           "content-length", "expect", "host"});
   Call.Body = std::move(Request.body());
   return Call;
 }
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -58,8 +58,8 @@
 
 void RelaySession::send(const SendRelayAttempt &Action) {
   HttpExchange Exchange;
-  Exchange.Bytes = encodeAttempt(Call, Names, Action.Server->Info.Id,
-                                 Action.TimeLeft);
+  Exchange.Bytes =
+      encodeAttempt(Call, Names, Action.Server->Info.Id, Action.TimeLeft);
   Exchange.HeadRequest = Call.Method == "HEAD";
   Exchange.Deadline = LoopTimers::now() + Action.TimeLeft + AttemptSlack;
   Exchange.EchoHeader = Names.RequestId;
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -24,9 +24,9 @@
                                     MaxTime, S.ReturnTime);
   Store.finish();
   JsonReader Stop = Reader.optionalObject("stop");
-  S.StopGrace = absl::Seconds(Stop.number(
-      "grace_s", 0, absl::ToDoubleSeconds(MaxTime),
-      absl::ToDoubleSeconds(S.StopGrace)));
+  S.StopGrace =
+      absl::Seconds(Stop.number("grace_s", 0, absl::ToDoubleSeconds(MaxTime),
+                                absl::ToDoubleSeconds(S.StopGrace)));
   Stop.finish();
   JsonReader Extra = Reader.optionalObject("extra_load");
   S.ExtraLoad.Share = Extra.number("share", 0, 1, S.ExtraLoad.Share);
--- a/tests/relay/BackendClientTest.cpp
+++ b/tests/relay/BackendClientTest.cpp
@@ -13,8 +13,8 @@
 protected:
   BackendClientTest()
       : Timers(Loop), Backends(Loop, Timers),
-        Listener(Loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
-                                     0)),
+        Listener(Loop,
+                 tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
         Server(std::make_shared<PoolServer>()) {
     Server->Info.Id = "s";
     Server->Info.Address =
@@ -49,9 +49,9 @@
 
   /// Accepts one connection, reads once and answers \p Bytes.
   void serve(const std::string &Bytes, bool Close) {
-    Listener.async_accept([this, Bytes, Close](
-                              const boost::system::error_code &Fault,
-                              tcp::socket Socket) {
+    Listener.async_accept([this, Bytes,
+                           Close](const boost::system::error_code &Fault,
+                                  tcp::socket Socket) {
       if (Fault)
         return;
       Peer = std::make_unique<tcp::socket>(std::move(Socket));
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -124,9 +124,9 @@
 
 TEST(RelayRequestTest, SurveyWithTooFewShardsIsRefusedUnsent) {
   RelayWorld W(4, 1);
-  W.State->apply({FeedChange{"s0-0", std::nullopt},
-                  FeedChange{"s1-0", std::nullopt}},
-                 W.Now);
+  W.State->apply(
+      {FeedChange{"s0-0", std::nullopt}, FeedChange{"s1-0", std::nullopt}},
+      W.Now);
   W.begin();
   ASSERT_TRUE(W.answered());
   EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Unservable);
@@ -181,7 +181,8 @@
   W.begin();
   for (std::size_t Part = 1; Part < 10; ++Part)
     W.end(Part, AttemptResult::Answered);
-  for (std::size_t Attempt : {std::size_t{0}, std::size_t{10}, std::size_t{11}}) {
+  for (std::size_t Attempt :
+       {std::size_t{0}, std::size_t{10}, std::size_t{11}}) {
     ASSERT_LT(Attempt, W.Sent.size());
     W.serverOf(Attempt)->Unreachable = true;
     W.end(Attempt, AttemptResult::NotSent);
--- a/tests/relay/RelayWorld.h
+++ b/tests/relay/RelayWorld.h
@@ -51,8 +51,8 @@
     Sheet.Routes = {Taken};
     State->adopt(Sheet, Now);
     const Route &R = State->table()->sheet().Routes[0];
-    Request = std::make_unique<RelayRequest>(
-        State->plan(R, Now, absl::Seconds(1)));
+    Request =
+        std::make_unique<RelayRequest>(State->plan(R, Now, absl::Seconds(1)));
     Request->OnPlaced = [this](const RelayActions &Actions) { note(Actions); };
     step([this](RelayActions &Out) { Request->start(Now, Out); });
   }
--- a/tests/relay/ScriptedStore.h
+++ b/tests/relay/ScriptedStore.h
@@ -21,7 +21,10 @@
   void read(const std::string &Prefix, const std::string &After, bool Stale,
             PageDone Done) override {
     Calls.push_back({Stale ? "read_stale" : "read",
-                     After.empty() ? Prefix : After, 0, std::move(Done), {}});
+                     After.empty() ? Prefix : After,
+                     0,
+                     std::move(Done),
+                     {}});
   }
   void watch(const std::string &Prefix, std::uint64_t Revision, Duration,
              PageDone Done) override {
