--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -16,7 +16,10 @@
 static constexpr Duration StoppingRetryAfter = absl::Milliseconds(10);
 /// Between changes of servers and the next watch: a server's start or stop is
 /// several changes, and each wakes every instance.
-static constexpr Duration ServerBatchPause = absl::Milliseconds(700);
+static constexpr Duration ServerBatchPause = absl::Milliseconds(1000);
+/// The same for sheets: versions that come in quick succession are taken
+/// together, well within the seconds in which one has to be in force.
+static constexpr Duration SheetBatchPause = absl::Milliseconds(200);
 /// Between two looks at a stop.
 static constexpr Duration StopStep = absl::Milliseconds(50);
 /// Before the accepting of callers goes on when there are no descriptors.
@@ -143,6 +146,7 @@
   };
   FollowOptions SheetOptions;
   SheetOptions.Prefix = Surroundings.SheetKey;
+  SheetOptions.BatchPause = SheetBatchPause;
   SheetOptions.Seed = Seed;
   SheetFollower = std::make_unique<KeyFollower>(*Store, Timers, SheetOptions,
                                                 std::move(Sheets));
