--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -20,7 +20,7 @@
 static constexpr Duration ReportLife = absl::Milliseconds(300);
 /// Preference for the own zone: bytes between zones cost, and so do the
 /// round trips.
-static constexpr Duration CrossZonePenalty = absl::Milliseconds(5);
+static constexpr Duration CrossZonePenalty = absl::Milliseconds(12);
 /// Extra time when a connection has to be set up first.
 static constexpr Duration ConnectPenalty = absl::Milliseconds(4);
 /// Slowness assumed of a server in its warm-up.
