--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -18,9 +18,10 @@
 static constexpr int MostFadeDoublings = 4;
 /// A load report counts for nothing once it is this old.
 static constexpr Duration ReportLife = absl::Milliseconds(300);
-/// Preference for the own zone: bytes between zones cost, and so do the
-/// round trips.
-static constexpr Duration CrossZonePenalty = absl::Milliseconds(12);
+/// Part of a request's objective that a server of the own zone may take longer
+/// than one of another: bytes between zones cost, and an instance that keeps to
+/// few servers meets their pauses sooner.
+static constexpr double OwnZoneShare = 0.35;
 /// Extra time when a connection has to be set up first.
 static constexpr Duration ConnectPenalty = absl::Milliseconds(4);
 /// Slowness assumed of a server in its warm-up.
@@ -141,7 +142,7 @@
       Request.Kind == RequestKind::AtMostOnce ? FinalLossCost : LossCost;
   Expected *= 1.0 + Cost * lossRate(S, Now);
   if (S.Info.Zone != Zone)
-    Expected += CrossZonePenalty;
+    Expected += Request.Objective * OwnZoneShare;
   if (S.IdleConnections <= 0)
     Expected += ConnectPenalty;
   return absl::ToDoubleMicroseconds(Expected);
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -22,6 +22,8 @@
 struct PlaceRequest {
   const RouteStats *Stats = nullptr;
   RequestKind Kind = RequestKind::Idempotent;
+  /// Time within which the request should be answered.
+  Duration Objective = absl::Milliseconds(100);
   /// 0 goes first in the queue.
   int Rank = 0;
   /// An answer after this is worth little: those that can still be in time go
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -80,6 +80,7 @@
   PlaceRequest Ask;
   Ask.Stats = Plan.Stats.get();
   Ask.Kind = Plan.Taken->Kind;
+  Ask.Objective = Plan.Taken->Objective;
   Ask.Rank = Plan.Taken->Rank;
   Ask.Excluded = P.Tried;
   Ask.UsefulUntil = Plan.AnswerBy;
@@ -244,6 +245,7 @@
   PlaceRequest Ask;
   Ask.Stats = Plan.Stats.get();
   Ask.Kind = Plan.Taken->Kind;
+  Ask.Objective = Plan.Taken->Objective;
   Ask.Rank = Plan.Taken->Rank;
   Ask.Excluded = P.Tried;
   Ask.LastResort = false;
