--- a/src/relay/RelayMain.cpp
+++ b/src/relay/RelayMain.cpp
@@ -15,7 +15,7 @@
 constexpr int ExitUsage = 2;
 
 int runRelay(const RelaySettings &S) {
-  initLogging(S.Log, std::string(), S.Instance);
+  initBoundedLogging(S.Log, S.Instance, S.LogLinesPerSecond);
   std::signal(SIGPIPE, SIG_IGN);
   RelayDaemon Daemon(S, platformDeployment());
   auto Bound = capture([&] { return Daemon.listen(); });
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -9,6 +9,7 @@
 static constexpr std::size_t MaxSettingsBytes = std::size_t{64} * 1024;
 static constexpr Duration MaxTime = absl::Hours(1);
 static constexpr double MaxBase = 1e6;
+static constexpr double MaxLogLines = 1e5;
 
 static RelaySettings readSettings(JsonReader &Reader) {
   RelaySettings S;
@@ -37,6 +38,8 @@
   Extra.finish();
   JsonReader Log = Reader.optionalObject("log");
   S.Log = Log.choice("level", LogLevelNames, std::make_optional(S.Log));
+  S.LogLinesPerSecond =
+      Log.number("lines_per_second", 0.1, MaxLogLines, S.LogLinesPerSecond);
   Log.finish();
   Reader.finish();
   return S;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -27,6 +27,9 @@
   /// What all instances together may send beyond first attempts.
   ExtraLoadLimits ExtraLoad;
   LogLevel Log = LogLevel::Info;
+  /// Log lines of each event; enough to tell what happens, and a small part of
+  /// the processor under load.
+  double LogLinesPerSecond = 20;
 };
 
 /// Reads settings from JSON with comments and checks every key. Fails with
--- a/src/runtime/Logger.h
+++ b/src/runtime/Logger.h
@@ -38,6 +38,13 @@
 void initLogging(LogLevel Least, const std::string &File,
                  const std::string &Instance);
 
+/// Sends log lines to standard output without ever waiting for its reader, at
+/// most \p LinesPerSecond of each event. Lines that find no room are counted,
+/// and their number is told by an event "log_dropped". Call once, before the
+/// first event.
+void initBoundedLogging(LogLevel Least, const std::string &Instance,
+                        double LinesPerSecond);
+
 /// Writes one line: time, level, instance, event=NAME and the fields, as
 /// key=value pairs. Values are quoted and escaped, so that no input can forge
 /// a line. Thread-safe.
