Believe a server's slowness for admission only once it is confirmed

Cause: found by RelayDaemonTest: the only server's first answer took 500 ms, and the next request was refused, since one sample stood for the expected delay. RelayRequestTest.OneSlowAnswerRefusesNobody was red before. Tests for messages, the platform's store and formats, and the daemon over sockets with its planned stop.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -16,6 +16,8 @@
 /// each slow answer in a row: one pause is forgotten soon, a slow server late.
 static constexpr Duration FirstFade = absl::Milliseconds(400);
 static constexpr int MostFadeDoublings = 4;
+/// Slow answers in a row that are taken for what will go on.
+static constexpr int ConfirmingAnswers = 3;
 /// A load report counts for nothing once it is this old.
 static constexpr Duration ReportLife = absl::Milliseconds(300);
 /// Part of a request's objective that a server of the own zone may take longer
@@ -232,7 +234,9 @@
     S.ReportedAt = Now;
   }
   const double Before = slowness(S, Now);
-  const double Ratio = absl::FDivDuration(Report.Elapsed, Stats.expected());
+  // Without anything to compare with, a server is neither slow nor fast.
+  const double Ratio =
+      Stats.known() ? absl::FDivDuration(Report.Elapsed, Stats.expected()) : 1;
   switch (Report.Result) {
   case AttemptResult::Answered:
     S.Failures = 0;
@@ -321,7 +325,10 @@
     if (!S->Present || S->Unreachable)
       continue;
     InFlight += S->inFlight();
-    Best = std::min(Best, completion(*S, Stats, Now));
+    // One slow answer says little of the next one, and refuses nobody.
+    const bool Confirmed = S->SlowStreak >= ConfirmingAnswers;
+    const double Doubtful = Confirmed ? 1 : std::max(1.0, slowness(*S, Now));
+    Best = std::min(Best, completion(*S, Stats, Now) / Doubtful);
   }
   if (Queue.empty() || Best == absl::InfiniteDuration())
     return Best;
--- a/src/core/relay/RouteStats.h
+++ b/src/core/relay/RouteStats.h
@@ -16,6 +16,8 @@
   void record(Duration Elapsed, double Slowness, TimePoint Now);
   /// Time to the answer of an ordinary, idle server.
   Duration expected() const { return Mean; }
+  /// False before the first answer; expected() is a guess then.
+  bool known() const { return Known; }
   /// Delay after which few attempts are still to be answered by themselves.
   Duration hedgeDelay() const;
 
--- a/src/relay/KeyFollower.cpp
+++ b/src/relay/KeyFollower.cpp
@@ -79,10 +79,10 @@
 
 void KeyFollower::watch() {
   Store.watch(Options.Prefix, Revision, Options.WatchWait,
-              [this](StorePage Page) { onWatch(std::move(Page)); });
+              [this](const StorePage &Page) { onWatch(Page); });
 }
 
-void KeyFollower::onWatch(StorePage Page) {
+void KeyFollower::onWatch(const StorePage &Page) {
   if (Page.Outcome == StoreOutcome::HistoryGone) {
     onAnswered();
     readAll();
--- a/src/relay/KeyFollower.h
+++ b/src/relay/KeyFollower.h
@@ -51,7 +51,7 @@
   void readPage(const std::string &After);
   void watch();
   void onPage(StorePage Page);
-  void onWatch(StorePage Page);
+  void onWatch(const StorePage &Page);
   void onFailure(StoreOutcome Outcome);
   void onAnswered();
   void later(Duration Pause, void (KeyFollower::*Step)());
--- /dev/null
+++ b/tests/relay/PlatformStoreTest.cpp
@@ -0,0 +1,138 @@
+#include "platform/PlatformStore.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+using namespace quetzallead;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// A store that reads one request and answers with a given text.
+class PlatformStoreTest : public testing::Test {
+protected:
+  PlatformStoreTest()
+      : Timers(Loop),
+        Listener(Loop,
+                 tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+        Store(Loop, Timers,
+              "127.0.0.1:" + std::to_string(Listener.local_endpoint().port()),
+              absl::Milliseconds(300)) {}
+
+  void answer(const std::string &Status, const std::string &Body) {
+    const std::string Bytes = "HTTP/1.1 " + Status + "\r\nContent-Length: " +
+                              std::to_string(Body.size()) + "\r\n\r\n" + Body;
+    Listener.async_accept([this, Bytes](const boost::system::error_code &Fault,
+                                        tcp::socket Socket) {
+      ASSERT_FALSE(Fault);
+      Peer = std::make_unique<tcp::socket>(std::move(Socket));
+      Peer->async_read_some(
+          boost::asio::buffer(Buffer),
+          [this, Bytes](const boost::system::error_code &, std::size_t Count) {
+            Received.assign(Buffer.data(), Count);
+            boost::system::error_code Ignored;
+            boost::asio::write(*Peer, boost::asio::buffer(Bytes), Ignored);
+          });
+    });
+  }
+
+  /// Runs the loop until \p Begin's callback has come.
+  template <typename Reply, typename Fn> Reply await(Fn Begin) {
+    std::optional<Reply> Got;
+    Begin([&](Reply Value) { Got = std::move(Value); });
+    const TimePoint Limit = LoopTimers::now() + absl::Seconds(20);
+    while (!Got && LoopTimers::now() < Limit)
+      Loop.run_one_for(std::chrono::milliseconds(50));
+    EXPECT_TRUE(Got.has_value());
+    return Got.value_or(Reply());
+  }
+
+  StorePage read() {
+    return await<StorePage>([this](RevisionedStore::PageDone Done) {
+      Store.read("servers/", "servers/a b", false, std::move(Done));
+    });
+  }
+
+  boost::asio::io_context Loop;
+  LoopTimers Timers;
+  tcp::acceptor Listener;
+  PlatformStore Store;
+  std::unique_ptr<tcp::socket> Peer;
+  std::array<char, 4096> Buffer{};
+  std::string Received;
+};
+
+} // namespace
+
+TEST_F(PlatformStoreTest, ReadsAPage) {
+  answer("200 OK",
+         R"({"items": [{"key": "servers/x", "value": "aGk=", "revision": 3,
+             "created": 2, "lease": 0}], "has_more": true,
+             "current_rev": 9})");
+  const StorePage Page = read();
+  EXPECT_EQ(Page.Outcome, StoreOutcome::Done);
+  ASSERT_EQ(Page.Items.size(), 1u);
+  EXPECT_EQ(Page.Items[0].Value, "hi");
+  EXPECT_TRUE(Page.More);
+  EXPECT_EQ(Page.Revision, 9u);
+  EXPECT_EQ(Received.substr(0, Received.find('\r')),
+            "GET /kv-range?prefix=servers/&after=servers/a%20b HTTP/1.1");
+}
+
+TEST_F(PlatformStoreTest, ReadsRemovals) {
+  answer("200 OK", R"({"events": [{"key": "k", "revision": 4,
+                       "removed": true}], "current_rev": 4})");
+  const auto Page = await<StorePage>([this](RevisionedStore::PageDone Done) {
+    Store.watch("k", 3, absl::Seconds(20), std::move(Done));
+  });
+  ASSERT_EQ(Page.Items.size(), 1u);
+  EXPECT_TRUE(Page.Items[0].Removed);
+  EXPECT_NE(Received.find("/kv-watch?prefix=k&after=3&wait_ms=20000 "),
+            std::string::npos);
+}
+
+TEST_F(PlatformStoreTest, TellsTheFailuresApart) {
+  const std::pair<const char *, StoreOutcome> Cases[] = {
+      {"410 Gone", StoreOutcome::HistoryGone},
+      {"429 Too Many", StoreOutcome::Refused},
+      {"503 Unavailable", StoreOutcome::Refused},
+      {"412 Failed", StoreOutcome::Conflict},
+      {"404 None", StoreOutcome::NotFound},
+      {"500 Oh", StoreOutcome::BadReply},
+      {"200 OK", StoreOutcome::BadReply}};
+  for (const auto &[Status, Outcome] : Cases) {
+    SetUp();
+    answer(Status, "no json");
+    EXPECT_EQ(read().Outcome, Outcome) << Status;
+    Peer.reset();
+    Loop.run_for(std::chrono::milliseconds(20));
+  }
+}
+
+TEST_F(PlatformStoreTest, SilentConnectionIsNotUsedAgain) {
+  EXPECT_EQ(read().Outcome, StoreOutcome::Unknown);
+  // The call above waits in the listener's queue; the next connection is a
+  // new one.
+  tcp::socket First = Listener.accept();
+  answer("200 OK", R"({"items": [], "current_rev": 1})");
+  EXPECT_EQ(read().Outcome, StoreOutcome::Done);
+}
+
+TEST_F(PlatformStoreTest, NobodyThereMeansNothingWasDone) {
+  Listener.close();
+  const auto Reply = await<StoreReply>([this](RevisionedStore::ReplyDone Done) {
+    Store.put("k", "v", 0, std::move(Done));
+  });
+  EXPECT_EQ(Reply.Outcome, StoreOutcome::Refused);
+}
+
+TEST_F(PlatformStoreTest, WritesUnderALease) {
+  answer("200 OK", R"({"revision": 5})");
+  const auto Reply = await<StoreReply>([this](RevisionedStore::ReplyDone Done) {
+    Store.put("k", "v", 77, std::move(Done));
+  });
+  EXPECT_EQ(Reply.Outcome, StoreOutcome::Done);
+  EXPECT_NE(Received.find(R"("puts":[{"key":"k","lease":77,"value":"dg=="}])"),
+            std::string::npos)
+      << Received;
+}
--- /dev/null
+++ b/tests/relay/RelayDaemonTest.cpp
@@ -0,0 +1,304 @@
+#include "relay/RelayDaemon.h"
+#include "platform/PlatformDeployment.h"
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <thread>
+
+using namespace quetzallead;
+using boost::asio::ip::tcp;
+
+namespace {
+
+const char *const Sheet = R"({"version": 3, "routes": [
+  {"name": "r", "host": "h", "prefix": "/", "type": "idempotent",
+   "timeout_ms": 3000, "slo_ms": 1000, "priority": 1, "service": "x",
+   "max_attempts": 2}],
+  "services": [{"name": "x", "max_conns": 26}],
+  "limits": {"max_header_bytes": 2000, "max_body_bytes": 1000,
+             "header_timeout_ms": 300, "idle_timeout_ms": 2000}})";
+
+/// A store that holds one sheet and one server, and never changes.
+class SteadyStore : public RevisionedStore {
+public:
+  explicit SteadyStore(std::string GivenServer)
+      : Server(std::move(GivenServer)) {}
+
+  void read(const std::string &Prefix, const std::string &, bool,
+            PageDone Done) override {
+    StorePage Page;
+    Page.Outcome = StoreOutcome::Done;
+    Page.Revision = 5;
+    if (Prefix == "op/config")
+      Page.Items = {StoreItem{"op/config", Sheet, 4, false}};
+    if (Prefix == "servers/")
+      Page.Items = {StoreItem{
+          "servers/i-1",
+          R"({"service": "x", "zone": "a", "slots": 8, "state": "ready",
+              "address": ")" +
+              Server + "\"}",
+          5, false}};
+    Done(Page);
+  }
+  void watch(const std::string &, std::uint64_t, Duration, PageDone) override {}
+  void grantLease(Duration, ReplyDone Done) override {
+    Done(StoreReply{StoreOutcome::Done, 1});
+  }
+  void renewLease(std::uint64_t, ReplyDone Done) override {
+    Done(StoreReply{StoreOutcome::Done, 1});
+  }
+  void endLease(std::uint64_t, ReplyDone Done) override {
+    Done(StoreReply{StoreOutcome::Done, 0});
+  }
+  void put(const std::string &, const std::string &, std::uint64_t,
+           ReplyDone Done) override {
+    Done(StoreReply{StoreOutcome::Done, 0});
+  }
+
+private:
+  std::string Server;
+};
+
+/// A backend server with a thread a connection, which answers each request
+/// with its path, after a pause if the path asks for one.
+class PathServer {
+public:
+  PathServer()
+      : Listener(Loop,
+                 tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
+    Accepting = std::thread([this] {
+      for (;;) {
+        boost::system::error_code Fault;
+        tcp::socket Socket = Listener.accept(Fault);
+        if (Fault || Over)
+          return;
+        Serving.emplace_back(
+            [this, Peer = std::move(Socket)]() mutable { serve(Peer); });
+      }
+    });
+  }
+  ~PathServer() {
+    Over = true;
+    boost::system::error_code Ignored;
+    tcp::socket Last(Loop);
+    Last.connect(Listener.local_endpoint(), Ignored);
+    Accepting.join();
+    for (std::thread &T : Serving)
+      T.join();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
+  }
+
+  /// Requests whose connection had been closed before they were answered.
+  std::atomic<int> Left{0};
+
+private:
+  void serve(tcp::socket &Peer) {
+    std::string Buffer;
+    for (;;) {
+      boost::system::error_code Fault;
+      const std::size_t End = boost::asio::read_until(
+          Peer, boost::asio::dynamic_buffer(Buffer), "\r\n\r\n", Fault);
+      if (Fault)
+        return;
+      const std::string Head = Buffer.substr(0, End);
+      Buffer.erase(0, End);
+      const std::string Path = Head.substr(4, Head.find(' ', 4) - 4);
+      if (Path == "/slow")
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+      char Byte = 0;
+      if (recv(Peer.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+        ++Left;
+        return;
+      }
+      const std::string Answer =
+          "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: " +
+          std::to_string(Path.size()) + "\r\n\r\n" + Path;
+      boost::asio::write(Peer, boost::asio::buffer(Answer), Fault);
+      if (Fault)
+        return;
+    }
+  }
+
+  boost::asio::io_context Loop;
+  tcp::acceptor Listener;
+  std::atomic<bool> Over{false};
+  std::thread Accepting;
+  std::vector<std::thread> Serving;
+};
+
+int freePort() {
+  boost::asio::io_context Loop;
+  tcp::acceptor Any(
+      Loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return Any.local_endpoint().port();
+}
+
+/// A relay on a thread of its own, and connections of callers.
+class RelayDaemonTest : public testing::Test {
+protected:
+  RelayDaemonTest() {
+    Settings.Instance = "i";
+    Settings.Zone = "a";
+    CallerPort = freePort();
+    ReadinessPort = freePort();
+    Settings.CallerListen = "127.0.0.1:" + std::to_string(CallerPort);
+    Settings.ReadinessListen = "127.0.0.1:" + std::to_string(ReadinessPort);
+    Settings.StoreAddress = "127.0.0.1:1";
+    Settings.StopGrace = absl::Seconds(3);
+    Deployment Surroundings = platformDeployment();
+    Surroundings.MakeStore = [this](boost::asio::io_context &, LoopTimers &,
+                                    const std::string &, Duration) {
+      return std::make_unique<SteadyStore>(Backend.address());
+    };
+    Relay = std::make_unique<RelayDaemon>(Settings, std::move(Surroundings));
+    auto Bound = capture([this] { return Relay->listen(); });
+    EXPECT_TRUE(std::holds_alternative<bool>(Bound));
+    Running = std::thread([this] { Relay->run(); });
+  }
+  ~RelayDaemonTest() override {
+    if (Running.joinable())
+      stop();
+  }
+
+  void stop() {
+    std::raise(SIGTERM);
+    Running.join();
+    // Its connections to the backend server end with it.
+    Relay.reset();
+  }
+
+  tcp::socket connect(int Port) {
+    tcp::socket Socket(Loop);
+    Socket.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                 static_cast<std::uint16_t>(Port)));
+    return Socket;
+  }
+
+  static void send(tcp::socket &Socket, const std::string &Text) {
+    boost::system::error_code Ignored;
+    boost::asio::write(Socket, boost::asio::buffer(Text), Ignored);
+  }
+
+  static std::string get(const std::string &Path) {
+    return "GET " + Path +
+           " HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nDeadline-Ms: 2500\r\n\r\n";
+  }
+
+  /// The head of the next answer, and its body of \p Bytes bytes.
+  static std::string receive(tcp::socket &Socket, std::size_t Bytes) {
+    std::string Text;
+    boost::system::error_code Fault;
+    std::size_t End = boost::asio::read_until(
+        Socket, boost::asio::dynamic_buffer(Text), "\r\n\r\n", Fault);
+    while (!Fault && Text.size() < End + Bytes) {
+      char Buffer[512];
+      const std::size_t Count =
+          Socket.read_some(boost::asio::buffer(Buffer), Fault);
+      Text.append(Buffer, Count);
+    }
+    return Text;
+  }
+
+  static bool closed(tcp::socket &Socket) {
+    char Byte = 0;
+    boost::system::error_code Fault;
+    Socket.read_some(boost::asio::buffer(&Byte, 1), Fault);
+    return Fault == boost::asio::error::eof;
+  }
+
+  boost::asio::io_context Loop;
+  PathServer Backend;
+  RelaySettings Settings;
+  int CallerPort = 0;
+  int ReadinessPort = 0;
+  std::unique_ptr<RelayDaemon> Relay;
+  std::thread Running;
+};
+
+} // namespace
+
+TEST_F(RelayDaemonTest, AnswersOneRequestAfterTheOther) {
+  tcp::socket Caller = connect(CallerPort);
+  for (const char *Path : {"/a", "/b"}) {
+    send(Caller, get(Path));
+    const std::string Answer = receive(Caller, 2);
+    EXPECT_EQ(Answer.substr(0, 15), "HTTP/1.1 200 OK") << Answer;
+    EXPECT_EQ(Answer.substr(Answer.size() - 2), Path);
+  }
+}
+
+TEST_F(RelayDaemonTest, AnswersPipelinedRequestsInTheirOrder) {
+  tcp::socket Caller = connect(CallerPort);
+  send(Caller, get("/slow") + get("/b"));
+  const std::string First = receive(Caller, 5);
+  EXPECT_NE(First.find("/slow"), std::string::npos);
+  const std::string Second =
+      First.find("/b") != std::string::npos ? First : receive(Caller, 2);
+  EXPECT_NE(Second.find("/b"), std::string::npos);
+}
+
+TEST_F(RelayDaemonTest, RefusesWhatBreaksTheLimits) {
+  const std::pair<std::string, const char *> Cases[] = {
+      {"GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n",
+       "431"},
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n", "413"},
+      {"no protocol\r\n\r\n", "400"},
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"GET / HTTP/1.1\r\nHost: other\r\n\r\n", "404"},
+      {"GET / HTTP/1.1\r\n\r\n", "400"},
+      {"GET / HTTP/1.1\r\nHo", "408"}};
+  for (const auto &[Text, Status] : Cases) {
+    tcp::socket Caller = connect(CallerPort);
+    send(Caller, Text);
+    EXPECT_EQ(receive(Caller, 0).substr(9, 3), Status) << Text;
+  }
+}
+
+TEST_F(RelayDaemonTest, CallerThatLeavesEndsItsRequestAtTheServer) {
+  {
+    tcp::socket Caller = connect(CallerPort);
+    send(Caller, get("/slow"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  EXPECT_EQ(Backend.Left, 1);
+  tcp::socket Other = connect(CallerPort);
+  send(Other, get("/a"));
+  EXPECT_EQ(receive(Other, 2).substr(9, 3), "200");
+}
+
+// Callers keep their connections and send on until the process is gone.
+TEST_F(RelayDaemonTest, AnswersAllThatItReadsWhileItStops) {
+  tcp::socket Prober = connect(ReadinessPort);
+  send(Prober, get("/ready"));
+  EXPECT_EQ(receive(Prober, 0).substr(9, 3), "200");
+  tcp::socket Idle = connect(CallerPort);
+  tcp::socket Busy = connect(CallerPort);
+  send(Busy, get("/slow"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  std::raise(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  send(Prober, get("/ready"));
+  EXPECT_EQ(receive(Prober, 0).substr(9, 3), "503");
+  send(Idle, get("/a"));
+  const std::string Kept = receive(Idle, 2);
+  EXPECT_EQ(Kept.substr(9, 3), "200");
+  EXPECT_NE(Kept.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(closed(Idle));
+  const std::string Slow = receive(Busy, 5);
+  EXPECT_EQ(Slow.substr(9, 3), "200");
+  EXPECT_NE(Slow.find("/slow"), std::string::npos);
+  tcp::socket Late = connect(CallerPort);
+  send(Late, get("/b"));
+  EXPECT_EQ(receive(Late, 2).substr(9, 3), "200");
+  Running.join();
+  Relay.reset();
+}
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -207,3 +207,16 @@
   EXPECT_GT(W.Verdict->RetryAfter, absl::ZeroDuration());
   EXPECT_TRUE(W.Sent.empty());
 }
+
+// The first answer of the only server took half a second; the next request
+// was refused for fear of the same.
+TEST(RelayRequestTest, OneSlowAnswerRefusesNobody) {
+  RelayWorld W(1, 1);
+  W.begin();
+  W.wait(absl::Milliseconds(500));
+  W.end(0, AttemptResult::Answered);
+  W.Verdict.reset();
+  W.begin();
+  EXPECT_FALSE(W.answered());
+  EXPECT_EQ(W.Sent.size(), 2u);
+}
