--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -75,15 +75,20 @@
   rearm();
 }
 
-void RelayRequest::place(std::size_t Index, TimePoint Now, RelayActions &Out) {
-  Part &P = Parts[Index];
+PlaceRequest RelayRequest::placeRequest(const Part &P) const {
   PlaceRequest Ask;
   Ask.Stats = Plan.Stats.get();
   Ask.Kind = Plan.Taken->Kind;
   Ask.Objective = Plan.Taken->Objective;
   Ask.Rank = Plan.Taken->Rank;
-  Ask.Excluded = P.Tried;
   Ask.UsefulUntil = Plan.AnswerBy;
+  Ask.Excluded = P.Tried;
+  return Ask;
+}
+
+void RelayRequest::place(std::size_t Index, TimePoint Now, RelayActions &Out) {
+  Part &P = Parts[Index];
+  const PlaceRequest Ask = placeRequest(P);
   Place Given = Plan.Targets[Index].Pool->acquire(
       Ask, true,
       [this, Index](const ServerRef &Server, TimePoint When) {
@@ -242,12 +247,7 @@
     P.HedgeAt = Now + BudgetWait;
     return;
   }
-  PlaceRequest Ask;
-  Ask.Stats = Plan.Stats.get();
-  Ask.Kind = Plan.Taken->Kind;
-  Ask.Objective = Plan.Taken->Objective;
-  Ask.Rank = Plan.Taken->Rank;
-  Ask.Excluded = P.Tried;
+  PlaceRequest Ask = placeRequest(P);
   Ask.LastResort = false;
   Place Given = T.Pool->acquire(Ask, false, nullptr, Now);
   if (Given.Outcome != PlaceOutcome::Granted) {
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -103,6 +103,7 @@
     bool Unrun = false;
   };
 
+  PlaceRequest placeRequest(const Part &P) const;
   void place(std::size_t Index, TimePoint Now, RelayActions &Out);
   void send(std::size_t Index, ServerRef Server, TimePoint Now,
             RelayActions &Out);
--- a/src/daemon/DaemonMain.cpp
+++ b/src/daemon/DaemonMain.cpp
@@ -1,22 +1,16 @@
 #include "daemon/Daemon.h"
 #include "daemon/Secrets.h"
 #include "daemon/Settings.h"
+#include "runtime/DaemonArguments.h"
 #include "runtime/Logger.h"
-#include "runtime/Version.h"
-#include <boost/program_options.hpp>
 #include <csignal>
 #include <iostream>
 #include <pthread.h>
 
-namespace options = boost::program_options;
 using namespace quetzallead;
 
 namespace {
 
-constexpr int ExitOk = 0;
-constexpr int ExitFailed = 1;
-constexpr int ExitUsage = 2;
-
 /// Blocks the stop signals in all threads; waitForStop() takes them.
 sigset_t blockStopSignals() {
   sigset_t Signals;
@@ -57,41 +51,19 @@
 } // namespace
 
 int main(int ArgCount, char **Args) {
-  options::options_description Known("Options");
-  Known.add_options()("help", "print this help")(
-      "version", "print the version")("settings", options::value<std::string>(),
-                                      "settings file, JSON with comments")(
-      "check-settings", "check the settings and exit")(
-      "print-settings", "print the effective settings and exit");
-  options::variables_map Given;
-  try {
-    options::store(options::parse_command_line(ArgCount, Args, Known), Given);
-  } catch (const options::error &Fault) {
-    std::cerr << "quetzalleadd: " << Fault.what() << "\n";
-    return ExitUsage;
-  }
-  if (Given.count("help") != 0) {
-    std::cout << "Usage: quetzalleadd --settings FILE\n" << Known;
-    return ExitOk;
-  }
-  if (Given.count("version") != 0) {
-    std::cout << "quetzalleadd " << Version << "\n";
-    return ExitOk;
-  }
-  if (Given.count("settings") == 0) {
-    std::cerr << "quetzalleadd: --settings FILE is needed\n";
-    return ExitUsage;
-  }
-  const auto &Path = Given["settings"].as<std::string>();
-  auto Loaded = capture([&] { return loadSettings(Path); });
+  auto Parsed = parseDaemonArguments("quetzalleadd", ArgCount, Args);
+  if (int *Code = std::get_if<int>(&Parsed))
+    return *Code;
+  const auto &Given = std::get<DaemonArguments>(Parsed);
+  auto Loaded = capture([&] { return loadSettings(Given.SettingsFile); });
   if (auto *Fault = std::get_if<Error>(&Loaded)) {
     std::cerr << "quetzalleadd: " << Fault->text() << "\n";
     return ExitFailed;
   }
   const Settings &S = std::get<Settings>(Loaded);
-  if (Given.count("print-settings") != 0)
+  if (Given.PrintSettings)
     std::cout << formatSettings(S) << "\n";
-  if (Given.count("print-settings") != 0 || Given.count("check-settings") != 0)
+  if (Given.PrintSettings || Given.CheckSettings)
     return ExitOk;
   return runDaemon(S);
 }
--- a/src/relay/RelayMain.cpp
+++ b/src/relay/RelayMain.cpp
@@ -1,19 +1,13 @@
 #include "platform/PlatformDeployment.h"
 #include "relay/RelayDaemon.h"
-#include "runtime/Version.h"
-#include <boost/program_options.hpp>
+#include "runtime/DaemonArguments.h"
 #include <csignal>
 #include <iostream>
 
-namespace options = boost::program_options;
 using namespace quetzallead;
 
 namespace {
 
-constexpr int ExitOk = 0;
-constexpr int ExitFailed = 1;
-constexpr int ExitUsage = 2;
-
 int runRelay(const RelaySettings &S) {
   initBoundedLogging(S.Log, S.Instance, S.LogLinesPerSecond);
   std::signal(SIGPIPE, SIG_IGN);
@@ -30,37 +24,19 @@
 } // namespace
 
 int main(int ArgCount, char **Args) {
-  options::options_description Known("Options");
-  Known.add_options()("help", "print this help")(
-      "version", "print the version")("settings", options::value<std::string>(),
-                                      "settings file, JSON with comments")(
-      "check-settings", "check the settings and exit");
-  options::variables_map Given;
-  try {
-    options::store(options::parse_command_line(ArgCount, Args, Known), Given);
-  } catch (const options::error &Fault) {
-    std::cerr << "quetzallead-relayd: " << Fault.what() << "\n";
-    return ExitUsage;
-  }
-  if (Given.count("help") != 0) {
-    std::cout << "Usage: quetzallead-relayd --settings FILE\n" << Known;
-    return ExitOk;
-  }
-  if (Given.count("version") != 0) {
-    std::cout << "quetzallead-relayd " << Version << "\n";
-    return ExitOk;
-  }
-  if (Given.count("settings") == 0) {
-    std::cerr << "quetzallead-relayd: --settings FILE is needed\n";
-    return ExitUsage;
-  }
-  auto Loaded = capture(
-      [&] { return loadRelaySettings(Given["settings"].as<std::string>()); });
+  auto Parsed = parseDaemonArguments("quetzallead-relayd", ArgCount, Args);
+  if (int *Code = std::get_if<int>(&Parsed))
+    return *Code;
+  const auto &Given = std::get<DaemonArguments>(Parsed);
+  auto Loaded = capture([&] { return loadRelaySettings(Given.SettingsFile); });
   if (auto *Fault = std::get_if<Error>(&Loaded)) {
     std::cerr << "quetzallead-relayd: " << Fault->text() << "\n";
     return ExitFailed;
   }
-  if (Given.count("check-settings") != 0)
+  const auto &S = std::get<RelaySettings>(Loaded);
+  if (Given.PrintSettings)
+    std::cout << formatRelaySettings(S);
+  if (Given.PrintSettings || Given.CheckSettings)
     return ExitOk;
-  return runRelay(std::get<RelaySettings>(Loaded));
+  return runRelay(S);
 }
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -66,4 +66,23 @@
   return namingFile(Path, [&] { return parseRelaySettings(Text.value()); });
 }
 
+std::string formatRelaySettings(const RelaySettings &S) {
+  nlohmann::ordered_json Out;
+  Out["instance"] = S.Instance;
+  Out["zone"] = S.Zone;
+  Out["caller_listen"] = S.CallerListen;
+  Out["readiness_listen"] = S.ReadinessListen;
+  Out["store"]["address"] = S.StoreAddress;
+  Out["store"]["timeout_ms"] = absl::ToDoubleMilliseconds(S.StoreTimeout);
+  Out["store"]["return_time_ms"] = absl::ToDoubleMilliseconds(S.ReturnTime);
+  Out["stop"]["grace_s"] = absl::ToDoubleSeconds(S.StopGrace);
+  Out["extra_load"]["share"] = S.ExtraLoad.Share;
+  Out["extra_load"]["base"] = S.ExtraLoad.Base;
+  Out["extra_load"]["window_s"] = absl::ToDoubleSeconds(S.ExtraLoad.Window);
+  Out["log"]["level"] = std::string(nameOf(LogLevelNames, S.Log));
+  Out["log"]["lines_per_second"] = S.LogLinesPerSecond;
+  constexpr int Indent = 2;
+  return Out.dump(Indent) + "\n";
+}
+
 } // namespace quetzallead
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -40,6 +40,9 @@
 /// NotFound if the file cannot be read.
 Result<RelaySettings> loadRelaySettings(const std::string &Path);
 
+/// The effective values as indented JSON that parseRelaySettings() accepts.
+std::string formatRelaySettings(const RelaySettings &S);
+
 } // namespace quetzallead
 
 #endif // QUETZALLEAD_RELAY_RELAYSETTINGS_H
