--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -64,9 +64,8 @@
   };
   CallerParts.Closing = [this] { return stopping(); };
   ReadinessParts.OnRequest =
-      [this](const std::shared_ptr<CallerSession> &Prober, HttpRequest) {
-        onReadiness(Prober);
-      };
+      [this](const std::shared_ptr<CallerSession> &Prober,
+             const HttpRequest &) { onReadiness(Prober); };
   ReadinessParts.OnLeft = [](CallerSession &) {};
   ReadinessParts.OnClosed = [](CallerSession &) {};
   ReadinessParts.Limits = [] { return ClientLimits(); };
@@ -124,6 +123,15 @@
   });
 }
 
+std::vector<FeedEntry>
+RelayDaemon::decodeServers(const std::vector<StoreItem> &Items) const {
+  std::vector<FeedEntry> Entries;
+  Entries.reserve(Items.size());
+  for (const StoreItem &Item : Items)
+    Entries.push_back(Surroundings.DecodeServer(Item));
+  return Entries;
+}
+
 void RelayDaemon::followStore() {
   auto Lost = [](const char *What) {
     return [What](StoreOutcome Outcome) {
@@ -153,16 +161,11 @@
   FollowHandlers Servers;
   Servers.OnAll = [this](const std::vector<StoreItem> &Items,
                          std::uint64_t Revision) {
-    std::vector<FeedEntry> Entries;
-    for (const StoreItem &Item : Items)
-      Entries.push_back(Surroundings.DecodeServer(Item));
-    takeServers(Feed.replaceAll(Entries, Revision, LoopTimers::now()));
+    takeServers(
+        Feed.replaceAll(decodeServers(Items), Revision, LoopTimers::now()));
   };
   Servers.OnChanges = [this](const std::vector<StoreItem> &Items) {
-    std::vector<FeedEntry> Entries;
-    for (const StoreItem &Item : Items)
-      Entries.push_back(Surroundings.DecodeServer(Item));
-    takeServers(Feed.apply(Entries, LoopTimers::now()));
+    takeServers(Feed.apply(decodeServers(Items), LoopTimers::now()));
   };
   Servers.OnLost = [this, Report = Lost("servers")](StoreOutcome Outcome) {
     Feed.sourceLost(LoopTimers::now());
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -36,6 +36,8 @@
   Result<bool> bind(Acceptor &Listener, const std::string &Address);
   void accept(Acceptor &Listener, CallerHandlers &Handlers, bool Caller);
   void followStore();
+  std::vector<FeedEntry>
+  decodeServers(const std::vector<StoreItem> &Items) const;
   void takeSheet(const std::vector<StoreItem> &Items);
   void takeServers(const std::vector<FeedChange> &Changes);
   void expireServers();
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -99,7 +99,7 @@
   return std::nullopt;
 }
 
-AttemptEnd decodeEnd(HttpExchangeEnd End, const HeaderNames &Names) {
+AttemptEnd decodeEnd(const HttpExchangeEnd &End, const HeaderNames &Names) {
   AttemptEnd Out;
   Out.Result = End.Result;
   if (End.Result != AttemptResult::Answered)
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -24,8 +24,9 @@
 std::string encodeAttempt(const RelayCall &Call, const HeaderNames &Names,
                           const std::string &ServerId, Duration TimeLeft);
 
-/// What a finished exchange with a backend server means.
-AttemptEnd decodeEnd(HttpExchangeEnd End, const HeaderNames &Names);
+/// What a finished exchange with a backend server means; moves the body out of
+/// its response.
+AttemptEnd decodeEnd(const HttpExchangeEnd &End, const HeaderNames &Names);
 
 /// The bytes of the answer to a caller. \p Wanted is the number of records of
 /// a survey's answer.
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -68,12 +68,12 @@
   Connections.resize(std::max(Connections.size(), Attempt + 1));
   auto Self = shared_from_this();
   Connections[Attempt] = Backends.send(
-      Action.Server, std::move(Exchange), [Self, Attempt](HttpExchangeEnd End) {
+      Action.Server, std::move(Exchange),
+      [Self, Attempt](const HttpExchangeEnd &End) {
         Self->Connections[Attempt] = nullptr;
         const TimePoint Now = LoopTimers::now();
         RelayActions Next;
-        Self->Request.onEnd(Attempt, decodeEnd(std::move(End), Self->Names),
-                            Now, Next);
+        Self->Request.onEnd(Attempt, decodeEnd(End, Self->Names), Now, Next);
         Self->perform(std::move(Next));
         Self->rearm();
         Self->Request.poolOf(Attempt)->serveQueue(Now);
--- a/tests/relay/RelayCoreTest.cpp
+++ b/tests/relay/RelayCoreTest.cpp
@@ -62,7 +62,7 @@
 }
 
 RC_GTEST_PROP(RecordMergeTest, EqualsSortingAllRecords,
-              (std::vector<std::vector<std::uint8_t>> Raw)) {
+              (const std::vector<std::vector<std::uint8_t>> &Raw)) {
   std::vector<std::string> Texts;
   std::vector<std::string> All;
   for (const auto &Bytes : Raw) {
