--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -226,7 +226,6 @@
     return;
   }
   P.RetryAt = absl::InfiniteFuture();
-  ++RetryCount;
   place(Index, Now, Out);
   if (P.State != PartState::GivenUp || !T.Pool->usable())
     return;
@@ -255,7 +254,6 @@
     P.HedgeAt = Now + BudgetWait;
     return;
   }
-  ++HedgeCount;
   send(Index, std::move(Given.Server), Now, Out);
 }
 
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -66,9 +66,6 @@
   /// When onTimer() is due; infinite once nothing waits.
   TimePoint nextTimer() const { return NextTimer; }
   bool answered() const { return Answered; }
-  std::size_t attempts() const { return Attempts.size(); }
-  std::size_t hedges() const { return HedgeCount; }
-  std::size_t retries() const { return RetryCount; }
   const RelayPlan &plan() const { return Plan; }
   const ServerRef &serverOf(std::size_t Id) const {
     return Attempts[Id].Server;
@@ -131,8 +128,6 @@
   std::vector<Attempt> Attempts;
   std::size_t AnsweredParts = 0;
   std::size_t GivenUpParts = 0;
-  std::size_t HedgeCount = 0;
-  std::size_t RetryCount = 0;
   bool Answered = false;
   TimePoint NextTimer = absl::InfiniteFuture();
 };
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -287,24 +287,23 @@
   CallerSession *Key = Caller.get();
   auto Session = std::make_shared<RelaySession>(
       Backends, Timers, Surroundings.Headers, std::move(Call), Table,
-      std::move(Plan),
-      [this, Weak, Key](const RelayVerdict &Verdict,
-                        const RelayRequest &Decided) {
+      std::move(Plan), [this, Weak, Key](const RelayVerdict &Verdict) {
         auto Found = Active.find(Key);
         if (Found == Active.end())
           return;
         std::shared_ptr<RelaySession> Mine = std::move(Found->second);
         Active.erase(Found);
         if (auto Open = Weak.lock())
-          onVerdict(*Open, Mine->call(), Verdict, Decided);
+          onVerdict(*Open, *Mine, Verdict);
       });
   Active[Key] = Session;
   Session->start();
 }
 
-void RelayDaemon::onVerdict(CallerSession &Caller, const RelayCall &Call,
-                            const RelayVerdict &Verdict,
-                            const RelayRequest &Request) {
+void RelayDaemon::onVerdict(CallerSession &Caller, const RelaySession &Session,
+                            const RelayVerdict &Verdict) {
+  const RelayCall &Call = Session.call();
+  const RelayRequest &Request = Session.request();
   const bool Fine = (Verdict.Outcome == RelayOutcome::Relayed &&
                      Verdict.Answers[0]->Status < 500) ||
                     Verdict.Outcome == RelayOutcome::Merged;
@@ -314,7 +313,9 @@
         {{"request", Call.RequestId},
          {"route", Request.plan().Taken->Name},
          {"outcome", nameOf(RelayOutcomeNames, Verdict.Outcome)},
-         {"attempts", Request.attempts()},
+         {"sheet", Session.sheetVersion()},
+         {"missing", Request.describeMissing()},
+         {"retry_after_ms", absl::ToInt64Milliseconds(Verdict.RetryAfter)},
          {"ms", absl::ToInt64Milliseconds(LoopTimers::now() - Call.Arrived)}});
   if (Verdict.Missing > 0)
     logEvent(
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -45,8 +45,8 @@
                  HttpRequest Request);
   void onReadiness(const std::shared_ptr<CallerSession> &Prober);
   void own(CallerSession &Caller, unsigned Status, Duration RetryAfter);
-  void onVerdict(CallerSession &Caller, const RelayCall &Call,
-                 const RelayVerdict &Verdict, const RelayRequest &Request);
+  void onVerdict(CallerSession &Caller, const RelaySession &Session,
+                 const RelayVerdict &Verdict);
   bool ready() const;
   bool stopping() const { return Stop.Begun != absl::InfiniteFuture(); }
   void waitForSignal();
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -50,7 +50,7 @@
       if (OnDone) {
         Completion Done = std::move(OnDone);
         OnDone = nullptr;
-        Done(Answer->Verdict, Request);
+        Done(Answer->Verdict);
       }
     }
   }
--- a/src/relay/RelaySession.h
+++ b/src/relay/RelaySession.h
@@ -17,8 +17,7 @@
 class RelaySession : public std::enable_shared_from_this<RelaySession> {
 public:
   /// Called once, unless the caller left.
-  using Completion =
-      std::function<void(const RelayVerdict &, const RelayRequest &)>;
+  using Completion = std::function<void(const RelayVerdict &)>;
 
   /// \p Table holds the plan's route.
   RelaySession(BackendClient &Backends, LoopTimers &Timers,
@@ -31,6 +30,7 @@
   void callerLeft();
   const RelayCall &call() const { return Call; }
   const RelayRequest &request() const { return Request; }
+  std::uint64_t sheetVersion() const { return Table->sheet().Version; }
 
 private:
   void perform(RelayActions Actions);
