--- a/src/core/relay/ServerFeed.cpp
+++ b/src/core/relay/ServerFeed.cpp
@@ -4,8 +4,13 @@
 
 namespace quetzallead {
 
-ServerFeed::ServerFeed(Duration GivenReturnTime)
-    : ReturnTime(GivenReturnTime) {}
+/// Removals in one batch that are a lapse, as a share of the servers there; and
+/// their least number, since small fleets change by large shares.
+static constexpr double LapseShare = 0.2;
+static constexpr int LeastLapse = 3;
+
+ServerFeed::ServerFeed(Duration GivenReturnTime, Duration GivenLoneReturnTime)
+    : ReturnTime(GivenReturnTime), LoneReturnTime(GivenLoneReturnTime) {}
 
 void ServerFeed::sourceLost(TimePoint) { SourceAway = true; }
 
@@ -25,9 +30,9 @@
   if (!E.Server)
     return;
   // A server that said it leaves does not come back.
-  const bool MayReturn = !E.Server->Draining && Now < LapsesUntil;
-  if (MayReturn) {
-    E.GoneAt = std::min(E.GoneAt, LapsesUntil);
+  const TimePoint Kept = std::max(LapsesUntil, Now + LoneReturnTime);
+  if (!E.Server->Draining && Kept > Now) {
+    E.GoneAt = std::min(E.GoneAt, Kept);
     return;
   }
   E.Server.reset();
@@ -50,8 +55,24 @@
   Out.push_back(FeedChange{Word.Id, E.Server});
 }
 
+void ServerFeed::noteLapse(const std::vector<FeedEntry> &Words, TimePoint Now) {
+  int Vanished = 0;
+  for (const FeedEntry &Word : Words) {
+    if (Word.Server)
+      continue;
+    auto Known = Entries.find(Word.Id);
+    if (Known != Entries.end() && Known->second.Server &&
+        !Known->second.Server->Draining)
+      ++Vanished;
+  }
+  if (Vanished >= LeastLapse &&
+      Vanished >= LapseShare * static_cast<double>(size()))
+    LapsesUntil = std::max(LapsesUntil, Now + ReturnTime);
+}
+
 std::vector<FeedChange> ServerFeed::apply(const std::vector<FeedEntry> &Words,
                                           TimePoint Now) {
+  noteLapse(Words, Now);
   std::vector<FeedChange> Out;
   for (const FeedEntry &Word : Words)
     applyOne(Word, Now, Out);
--- a/src/core/relay/ServerFeed.h
+++ b/src/core/relay/ServerFeed.h
@@ -28,12 +28,15 @@
 /// The backend servers that are there, from a feed that is read in pages and
 /// followed by changes. Newer revisions win, whatever the order in which words
 /// come. Entries that lapsed while the source was away are kept for a while
-/// after its return, since servers need time to register again.
+/// after its return, since servers need time to register again. That the
+/// source was away is not always noticed: entries that vanish without a word
+/// of leaving are kept for a while too, all the longer if many vanish at once.
 class ServerFeed {
 public:
   /// \p ReturnTime is how long after the return of the source a missing entry
-  /// may still come back.
-  explicit ServerFeed(Duration ReturnTime);
+  /// may still come back, \p LoneReturnTime how long one that vanishes while
+  /// the source seems well.
+  ServerFeed(Duration ReturnTime, Duration LoneReturnTime);
 
   /// The source does not answer.
   void sourceLost(TimePoint Now);
@@ -64,7 +67,11 @@
   void remove(const std::string &Id, Entry &E, std::uint64_t Revision,
               TimePoint Now, std::vector<FeedChange> &Out);
 
+  /// Takes many removals at once for a lapse.
+  void noteLapse(const std::vector<FeedEntry> &Words, TimePoint Now);
+
   Duration ReturnTime;
+  Duration LoneReturnTime;
   bool SourceAway = false;
   TimePoint LapsesUntil = absl::InfinitePast();
   absl::flat_hash_map<std::string, Entry> Entries;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -2,6 +2,7 @@
 #include "absl/hash/hash.h"
 #include "relay/SocketOptions.h"
 #include "runtime/Logger.h"
+#include <algorithm>
 #include <csignal>
 
 namespace quetzallead {
@@ -20,6 +21,9 @@
 /// The same for sheets: versions that come in quick succession are taken
 /// together, well within the seconds in which one has to be in force.
 static constexpr Duration SheetBatchPause = absl::Milliseconds(200);
+/// For calls to the store, and requests on their way, in the time that a
+/// leaving server still serves.
+static constexpr Duration LeavingMargin = absl::Milliseconds(600);
 /// Between two looks at a stop.
 static constexpr Duration StopStep = absl::Milliseconds(50);
 /// Before the accepting of callers goes on when there are no descriptors.
@@ -33,11 +37,19 @@
   return Options;
 }
 
+/// A vanished server may be used again only so long that the last request
+/// reaches it within the time in which it still serves.
+static Duration loneReturnTime(const RelaySettings &S) {
+  return std::clamp(S.LeavingTime - ServerBatchPause - LeavingMargin,
+                    absl::ZeroDuration(), S.ReturnTime);
+}
+
 RelayDaemon::RelayDaemon(RelaySettings GivenSettings,
                          Deployment GivenSurroundings)
     : Settings(std::move(GivenSettings)),
       Surroundings(std::move(GivenSurroundings)), Loop(1), Timers(Loop),
-      State(stateOptions(Settings)), Feed(Settings.ReturnTime),
+      State(stateOptions(Settings)),
+      Feed(Settings.ReturnTime, loneReturnTime(Settings)),
       Backends(Loop, Timers),
       Store(Surroundings.MakeStore(Loop, Timers, Settings.StoreAddress,
                                    Settings.StoreTimeout)),
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -23,6 +23,8 @@
                                       MaxTime, S.StoreTimeout);
   S.ReturnTime = Store.milliseconds("return_time_ms", absl::ZeroDuration(),
                                     MaxTime, S.ReturnTime);
+  S.LeavingTime = Store.milliseconds("leaving_time_ms", absl::ZeroDuration(),
+                                     MaxTime, S.LeavingTime);
   Store.finish();
   JsonReader Stop = Reader.optionalObject("stop");
   S.StopGrace =
@@ -75,6 +77,7 @@
   Out["store"]["address"] = S.StoreAddress;
   Out["store"]["timeout_ms"] = absl::ToDoubleMilliseconds(S.StoreTimeout);
   Out["store"]["return_time_ms"] = absl::ToDoubleMilliseconds(S.ReturnTime);
+  Out["store"]["leaving_time_ms"] = absl::ToDoubleMilliseconds(S.LeavingTime);
   Out["stop"]["grace_s"] = absl::ToDoubleSeconds(S.StopGrace);
   Out["extra_load"]["share"] = S.ExtraLoad.Share;
   Out["extra_load"]["base"] = S.ExtraLoad.Base;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -24,6 +24,8 @@
   /// How long after the return of the store a backend server that is missing
   /// there may still come back.
   Duration ReturnTime = absl::Seconds(2);
+  /// How long a backend server still serves after it left the store.
+  Duration LeavingTime = absl::Seconds(3);
   /// What all instances together may send beyond first attempts.
   ExtraLoadLimits ExtraLoad;
   LogLevel Log = LogLevel::Info;
--- a/tests/relay/RelayCoreTest.cpp
+++ b/tests/relay/RelayCoreTest.cpp
@@ -94,7 +94,7 @@
 }
 
 TEST(ServerFeedTest, NewerRevisionsWin) {
-  ServerFeed Feed(absl::Seconds(2));
+  ServerFeed Feed(absl::Seconds(2), absl::ZeroDuration());
   Feed.apply({entryOf("a", 5)}, Start);
   EXPECT_TRUE(Feed.apply({removalOf("a", 4)}, Start).empty());
   EXPECT_EQ(Feed.size(), 1u);
@@ -104,7 +104,7 @@
 }
 
 TEST(ServerFeedTest, AReadingRemovesWhatItLacks) {
-  ServerFeed Feed(absl::Seconds(2));
+  ServerFeed Feed(absl::Seconds(2), absl::ZeroDuration());
   Feed.apply({entryOf("a", 5), entryOf("b", 12)}, Start);
   const auto Changes = Feed.replaceAll({entryOf("c", 7)}, 10, Start);
   // b is newer than the reading.
@@ -113,7 +113,7 @@
 }
 
 TEST(ServerFeedTest, LapsedEntriesMayReturnAfterTheSource) {
-  ServerFeed Feed(absl::Seconds(2));
+  ServerFeed Feed(absl::Seconds(2), absl::ZeroDuration());
   Feed.apply({entryOf("a", 5), entryOf("b", 5), entryOf("d", 5, true)}, Start);
   Feed.sourceLost(Start);
   EXPECT_EQ(Feed.nextExpiry(), absl::InfiniteFuture());
@@ -130,6 +130,35 @@
   EXPECT_EQ(Feed.size(), 1u);
 }
 
+// The store was away unnoticed: the watch still waited, and its first word was
+// that all servers are gone.
+TEST(ServerFeedTest, ManyThatVanishAtOnceMayReturn) {
+  ServerFeed Feed(absl::Seconds(2), absl::Seconds(1));
+  std::vector<FeedEntry> Words;
+  std::vector<FeedEntry> Removals;
+  for (int I = 0; I < 10; ++I) {
+    Words.push_back(entryOf("s" + std::to_string(I), 5));
+    Removals.push_back(removalOf("s" + std::to_string(I), 9));
+  }
+  Feed.apply(Words, Start);
+  EXPECT_TRUE(Feed.apply(Removals, Start).empty());
+  EXPECT_EQ(Feed.size(), 10u);
+  EXPECT_EQ(Feed.nextExpiry(), Start + absl::Seconds(2));
+  Feed.apply({entryOf("s3", 11)}, Start + absl::Seconds(1));
+  EXPECT_EQ(Feed.expire(Start + absl::Seconds(2)).size(), 9u);
+  EXPECT_EQ(Feed.size(), 1u);
+}
+
+TEST(ServerFeedTest, OneThatVanishesMayReturnForAShorterTime) {
+  ServerFeed Feed(absl::Seconds(2), absl::Seconds(1));
+  Feed.apply({entryOf("a", 5), entryOf("b", 5, true)}, Start);
+  const auto Changes =
+      Feed.apply({removalOf("a", 6), removalOf("b", 6)}, Start);
+  ASSERT_EQ(Changes.size(), 1u);
+  EXPECT_EQ(Changes[0].Id, "b");
+  EXPECT_EQ(Feed.expire(Start + absl::Seconds(1)).size(), 1u);
+}
+
 // Whatever the times of requests and wishes, no window of any alignment holds
 // more extra attempts than the limits allow for the requests in it, in the
 // window before, or in the one half a window before.
