Make the first watch behind a reading a short one

Ruled out: the node cut (it met other machines), the batch pause, the time a vanished server is kept (the fault is older). The first watch now waits 1 s at most. Test red before.

--- a/src/relay/KeyFollower.cpp
+++ b/src/relay/KeyFollower.cpp
@@ -74,11 +74,13 @@
   EverComplete = true;
   Handlers.OnAll(Pages, Revision);
   Pages.clear();
+  FirstWatch = true;
   watch();
 }
 
 void KeyFollower::watch() {
-  Store.watch(Options.Prefix, Revision, Options.WatchWait,
+  Store.watch(Options.Prefix, Revision,
+              FirstWatch ? Options.FirstWatchWait : Options.WatchWait,
               [this](const StorePage &Page) { onWatch(Page); });
 }
 
@@ -93,6 +95,7 @@
     return;
   }
   onAnswered();
+  FirstWatch = false;
   Revision = std::max(Revision, Page.Revision);
   if (Page.Items.empty()) {
     watch();
--- a/src/relay/KeyFollower.h
+++ b/src/relay/KeyFollower.h
@@ -18,6 +18,9 @@
   /// together are taken in one call.
   Duration BatchPause = absl::ZeroDuration();
   Duration WatchWait = absl::Seconds(25);
+  /// The same for the first watch behind a reading: if the store drops its
+  /// history between the two, the watch hears nothing until its wait is over.
+  Duration FirstWatchWait = absl::Seconds(1);
   std::uint64_t Seed = 1;
 };
 
@@ -35,7 +38,8 @@
 
 /// Keeps up with the keys of a prefix: reads all of them, then watches for
 /// changes from the revision at which the reading began, and reads again when
-/// the store has forgotten that history or a watch was cut. Failures are
+/// the store has forgotten that history or a watch was cut. The first watch
+/// behind a reading is a short one. Failures are
 /// followed by growing, spread pauses, so that a fleet that starts together
 /// does not keep a store down that is coming back.
 class KeyFollower {
@@ -66,6 +70,7 @@
   /// Where the next watch begins.
   std::uint64_t Revision = 0;
   bool FirstPage = true;
+  bool FirstWatch = true;
   bool EverComplete = false;
   bool Lost = false;
   int Failures = 0;
--- a/tests/relay/KeyFollowerTest.cpp
+++ b/tests/relay/KeyFollowerTest.cpp
@@ -94,6 +94,18 @@
   EXPECT_EQ(All[0].Revision, 8u);
 }
 
+// Two instances read in the moment in which the store dropped its history, and
+// their watches heard nothing for the whole of their wait.
+TEST_F(KeyFollowerTest, FirstWatchBehindAReadingIsShort) {
+  Store.page(StoreOutcome::Done, {}, 7);
+  EXPECT_LE(Store.Calls.back().Wait, absl::Seconds(1));
+  Store.page(StoreOutcome::Done, {}, 7);
+  EXPECT_EQ(Store.Calls.back().Wait, FollowOptions().WatchWait);
+  Store.page(StoreOutcome::HistoryGone);
+  Store.page(StoreOutcome::Done, {}, 9);
+  EXPECT_LE(Store.Calls.back().Wait, absl::Seconds(1));
+}
+
 TEST_F(KeyFollowerTest, StaysCompleteWhileTheStoreIsAway) {
   EXPECT_FALSE(Follower.everComplete());
   Store.page(StoreOutcome::Refused);
--- a/tests/relay/ScriptedStore.h
+++ b/tests/relay/ScriptedStore.h
@@ -16,6 +16,8 @@
     std::uint64_t Revision = 0;
     PageDone OnPage;
     ReplyDone OnReply;
+    /// Of a watch.
+    Duration Wait = absl::ZeroDuration();
   };
 
   void read(const std::string &Prefix, const std::string &After, bool Stale,
@@ -26,9 +28,9 @@
                      std::move(Done),
                      {}});
   }
-  void watch(const std::string &Prefix, std::uint64_t Revision, Duration,
+  void watch(const std::string &Prefix, std::uint64_t Revision, Duration Wait,
              PageDone Done) override {
-    Calls.push_back({"watch", Prefix, Revision, std::move(Done), {}});
+    Calls.push_back({"watch", Prefix, Revision, std::move(Done), {}, Wait});
   }
   void grantLease(Duration, ReplyDone Done) override {
     Calls.push_back({"grant", "", 0, {}, std::move(Done)});
