--- a/src/daemon/FleetService.cpp
+++ b/src/daemon/FleetService.cpp
@@ -84,7 +84,10 @@
   // that is being taken apart.
   Quiet = true;
   Ticker.reset();
-  Transport.reset();
+  // The transport lives on until this object ends: its own thread may still be
+  // in a handler that has passed the check of Quiet and uses it.
+  if (Transport != nullptr)
+    Transport->stop();
   std::vector<PeerCallDone> Abandoned;
   {
     PosixMutexLock Lock(&Mutex);
--- a/src/transport/peer/PeerTransport.cpp
+++ b/src/transport/peer/PeerTransport.cpp
@@ -702,7 +702,13 @@
       : Hub(std::move(SharedHub)) {
     Hub->run();
   }
-  ~WebSocketPeerTransport() override { Hub->stop(); }
+  ~WebSocketPeerTransport() override { WebSocketPeerTransport::stop(); }
+
+  void stop() override {
+    if (!Stopped)
+      Hub->stop();
+    Stopped = true;
+  }
 
   int port() const override { return Hub->port(); }
   void connect(const std::string &Address) override { Hub->connect(Address); }
@@ -718,6 +724,7 @@
 
 private:
   std::shared_ptr<PeerHub> Hub;
+  bool Stopped = false;
 };
 
 Result<asio::ip::tcp::endpoint> parseEndpoint(const std::string &Text) {
--- a/src/transport/peer/PeerTransport.h
+++ b/src/transport/peer/PeerTransport.h
@@ -114,6 +114,10 @@
   /// transport's thread.
   virtual ~PeerTransport() = default;
 
+  /// Closes all links and ends the thread; no handler runs afterwards, and
+  /// calls have no effect. The destructor does the same. Not thread-safe.
+  virtual void stop() = 0;
+
   /// The bound port.
   virtual int port() const = 0;
   /// Dials \p Address, "ip:port", once. Does nothing if a link to a peer with
