Tell the story of a request, server or sheet from log files

quetzallead explain request|server|sheet ID LOG... reads the lines of any number of instances and prints those about the subject in the order of time. For a request it adds what its instance believed by then: words of the servers that it met, the store, the sheet, and how many lines the log left out. The former explain ID asks an instance.

--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -2,6 +2,7 @@
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 #include "cli/AskCommands.h"
+#include "cli/LogCommands.h"
 #include "cli/OperatorCommands.h"
 #include "cli/Session.h"
 #include "cli/SheetCommands.h"
@@ -28,6 +29,9 @@
 
 } // namespace
 
+/// Log files of one command: those of a large fleet.
+static constexpr std::size_t MostLogs = 2000;
+
 static constexpr Command Commands[] = {
     {"sheet check", "FILE", 1, 1, sheetCheck, "check a sheet"},
     {"sheet diff", "[FILE] FILE", 1, 2, sheetDiff,
@@ -43,6 +47,13 @@
     {"servers", "", 0, 0, showServers,
      "backend servers and what the instance believes of them"},
     {"drain", "", 0, 0, drainInstance, "stop the instance gracefully"},
+    {"explain request", "REQUEST-ID LOG...", 2, MostLogs,
+     explainRequestFromLogs,
+     "what became of a request, from log files (- is standard input)"},
+    {"explain server", "SERVER-ID LOG...", 2, MostLogs, explainServerFromLogs,
+     "what was believed of a backend server, from log files"},
+    {"explain sheet", "VERSION LOG...", 2, MostLogs, explainSheetFromLogs,
+     "where a version of the sheet was taken, from log files"},
     {"explain", "REQUEST-ID", 1, 1, explainRequest,
      "what was tried for a request, where and why"},
     {"audit", "", 0, 0, showAudit, "who changed what, when and why"},
--- a/tests/cli/CommandsTest.cpp
+++ b/tests/cli/CommandsTest.cpp
@@ -1,5 +1,6 @@
 #include "cli/Commands.h"
 #include "transport/FakeHttpClient.h"
+#include <fstream>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -145,3 +146,22 @@
   EXPECT_EQ(run({"ask", "command", "enquiry-relay", "k", "{}"}),
             ExitCode::Unknown);
 }
+
+TEST_F(CommandsTest, ExplainsARequestFromLogFiles) {
+  const std::string Log = testing::TempDir() + "explain.log";
+  std::ofstream(Log) << "not a line\n"
+                     << "time=2026-03-22T18:59:01Z level=info instance=i "
+                        "event=request_failed request=r outcome=refused\n";
+  EXPECT_EQ(run({"explain", "request", "r", Log}), ExitCode::Ok);
+  EXPECT_NE(Out.str().find("outcome refused"), std::string::npos) << Out.str();
+  EXPECT_EQ(run({"explain", "request", "q", Log}), ExitCode::Refused);
+  EXPECT_NE(Err.str().find("request q"), std::string::npos) << Err.str();
+  EXPECT_EQ(run({"explain", "request", "r", Log + ".none"}), ExitCode::Usage);
+  EXPECT_EQ(run({"explain", "request", "r"}), ExitCode::Usage);
+  Out.str("");
+  EXPECT_EQ(run({"explain", "server", "s", Log}), ExitCode::Refused);
+  EXPECT_EQ(run({"--json", "explain", "request", "r", Log}), ExitCode::Ok);
+  const auto Told = nlohmann::json::parse(Out.str());
+  EXPECT_EQ(Told["lines"][0]["fields"]["outcome"], "refused");
+  EXPECT_TRUE(Http.Calls.empty());
+}
