--- a/tests/promise/LeavingTest.cpp
+++ b/tests/promise/LeavingTest.cpp
@@ -86,7 +86,8 @@
       const double Left = nowMs();
       waitMs(GraceMs + WatchMs);
       const json Journal = Fleet.backend().journal();
-      EXPECT_EQ(receivedSince(Journal, Leaver, Left + GraceMs), 0);
+      EXPECT_EQ(receivedSince(Journal, Leaver, Left + GraceMs), 0)
+          << describeReceivedSince(Journal, Leaver, Left + GraceMs);
       EXPECT_GT(receivedSince(Journal, "s0-b", Left + GraceMs), 0);
     });
     EXPECT_EQ(Failed, 0) << "of " << Asked;
@@ -164,7 +165,9 @@
   EXPECT_TRUE(
       Fleet.backend().post("/journal/clear", json::object()).is_object());
   askDuring({1, 2}, [] { waitMs(WatchMs); });
-  EXPECT_EQ(receivedSince(Fleet.backend().journal(), Leaver, 0), 0);
+  const json Journal = Fleet.backend().journal();
+  EXPECT_EQ(receivedSince(Journal, Leaver, 0), 0)
+      << describeReceivedSince(Journal, Leaver, 0);
   EXPECT_EQ(Failed, 0) << "of " << Asked;
 }
 
--- a/tests/support/JournalView.h
+++ b/tests/support/JournalView.h
@@ -15,6 +15,9 @@
 /// Attempts that \p Server received at \p SinceMs, Unix time, or later.
 int receivedSince(const nlohmann::json &Journal, const std::string &Server,
                   double SinceMs);
+/// The entries that receivedSince() counts, a line each.
+std::string describeReceivedSince(const nlohmann::json &Journal,
+                                  const std::string &Server, double SinceMs);
 
 } // namespace quetzallead
 
