Count and log the relay's decisions

The relay serves counters and histograms on metrics_listen: requests by route and outcome, attempts by service, cause and result, hedges held back and why, missing shards, what is believed of servers, budgets, shares, and the age of what is known. It starts without them if their port is taken. New log lines: further attempts with the figures that placed them, attempts that failed, servers that go out of reach and come back, requests turned away before a route, late answers, and one in 200 that went well.

A reader of the log that stops delays nobody (RelayDaemonTest).

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -90,13 +90,29 @@
                       [&](const ServerRef &E) { return E.get() == &S; });
 }
 
-BackendPool::Tier BackendPool::tier(const PoolServer &S, TimePoint Now) const {
-  if (S.Unreachable || Now < S.RestUntil)
-    return Tier::Resting;
-  return S.overdue(Now) ? Tier::Overdue : Tier::Sound;
+ServerStanding BackendPool::standing(const PoolServer &S, TimePoint Now) {
+  if (!S.Present)
+    return ServerStanding::Leaving;
+  if (S.Unreachable)
+    return ServerStanding::Unreachable;
+  if (Now < S.RestUntil)
+    return ServerStanding::Resting;
+  return S.overdue(Now) ? ServerStanding::Overdue : ServerStanding::Sound;
+}
+
+ServiceSnapshot BackendPool::snapshot(TimePoint Now) const {
+  ServiceSnapshot Out;
+  for (const auto &[Id, S] : Servers) {
+    ++Out.Servers[static_cast<std::size_t>(standing(*S, Now))];
+    Out.InFlight += S->Pending.size();
+    Out.IdleConnections += static_cast<std::size_t>(S->IdleConnections);
+  }
+  Out.Queued = Queue.size();
+  Out.ConnectionShare = ConnectionShare;
+  return Out;
 }
 
-double BackendPool::slowness(const PoolServer &S, TimePoint Now) const {
+double BackendPool::slowness(const PoolServer &S, TimePoint Now) {
   double Value = S.Slowness;
   if (Value > 1) {
     const int Doublings = std::min(S.SlowStreak, MostFadeDoublings);
@@ -150,15 +166,36 @@
   return absl::ToDoubleMicroseconds(Expected);
 }
 
+namespace {
+
+/// Servers of an earlier tier are chosen before those of a later one.
+enum class Tier { Sound, Overdue, Last };
+
+} // namespace
+
+static Tier tierOf(ServerStanding Standing) {
+  switch (Standing) {
+  case ServerStanding::Sound:
+    return Tier::Sound;
+  case ServerStanding::Overdue:
+    return Tier::Overdue;
+  case ServerStanding::Resting:
+  case ServerStanding::Unreachable:
+  case ServerStanding::Leaving:
+    break;
+  }
+  return Tier::Last;
+}
+
 ServerRef BackendPool::choose(const PlaceRequest &Request, TimePoint Now,
                               bool &AnyEligible) {
   ServerRef Best;
-  Tier BestTier = Tier::Resting;
+  Tier BestTier = Tier::Last;
   double BestScore = 0;
   for (const auto &[Id, S] : Servers) {
     if (!eligible(*S, Request))
       continue;
-    const Tier T = tier(*S, Now);
+    const Tier T = tierOf(standing(*S, Now));
     if (T != Tier::Sound && !Request.LastResort)
       continue;
     AnyEligible = true;
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -4,6 +4,7 @@
 #include "core/relay/PoolServer.h"
 #include "core/relay/RequestKind.h"
 #include "core/relay/RouteStats.h"
+#include "core/relay/ServiceSnapshot.h"
 #include "quetzallead/AttemptResult.h"
 #include <cstdint>
 #include <deque>
@@ -91,6 +92,13 @@
   /// is no server in reach.
   Duration expectedDelay(const RouteStats &Stats, TimePoint Now) const;
   std::size_t queueLength() const { return Queue.size(); }
+  /// How \p S stands; Leaving if it may not receive work.
+  static ServerStanding standing(const PoolServer &S, TimePoint Now);
+  /// All of it but the budget, which is not the pool's.
+  ServiceSnapshot snapshot(TimePoint Now) const;
+  /// Time to an answer as a multiple of an ordinary server's, by what is
+  /// believed of \p S now.
+  static double slowness(const PoolServer &S, TimePoint Now);
   const std::map<std::string, ServerRef> &servers() const { return Servers; }
 
 private:
@@ -99,11 +107,7 @@
     PlaceRequest Request;
     PlaceWaiter Notify;
   };
-  enum class Tier { Sound, Overdue, Resting };
-
   bool eligible(const PoolServer &S, const PlaceRequest &Request) const;
-  Tier tier(const PoolServer &S, TimePoint Now) const;
-  double slowness(const PoolServer &S, TimePoint Now) const;
   double score(const PoolServer &S, const PlaceRequest &Request,
                TimePoint Now) const;
   /// Null with \p AnyEligible telling whether waiting may help.
--- a/src/core/relay/RelayActions.h
+++ b/src/core/relay/RelayActions.h
@@ -3,6 +3,7 @@
 
 #include "core/relay/BackendPool.h"
 #include "core/relay/RelayVerdict.h"
+#include "quetzallead/AttemptCause.h"
 #include <cstddef>
 #include <variant>
 #include <vector>
@@ -15,6 +16,7 @@
   ServerRef Server;
   /// Time that the server has.
   Duration TimeLeft;
+  AttemptCause Cause = AttemptCause::First;
 };
 
 /// End an attempt by closing its connection; its end is reported all the same.
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -67,7 +67,7 @@
   }
   for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
     if (Hopeful[I])
-      place(I, Now, Out);
+      place(I, AttemptCause::First, Now, Out);
     else
       giveUp(I);
   }
@@ -86,16 +86,17 @@
   return Ask;
 }
 
-void RelayRequest::place(std::size_t Index, TimePoint Now, RelayActions &Out) {
+void RelayRequest::place(std::size_t Index, AttemptCause Cause, TimePoint Now,
+                         RelayActions &Out) {
   Part &P = Parts[Index];
   const PlaceRequest Ask = placeRequest(P);
   Place Given = Plan.Targets[Index].Pool->acquire(
       Ask, true,
-      [this, Index](const ServerRef &Server, TimePoint When) {
+      [this, Index, Cause](const ServerRef &Server, TimePoint When) {
         Parts[Index].WaitId = 0;
         RelayActions Next;
         if (Server != nullptr)
-          send(Index, Server, When, Next);
+          send(Index, Server, Cause, When, Next);
         else
           giveUp(Index);
         checkEnd(When, Next);
@@ -104,26 +105,27 @@
       },
       Now);
   if (Given.Outcome == PlaceOutcome::Granted)
-    send(Index, std::move(Given.Server), Now, Out);
+    send(Index, std::move(Given.Server), Cause, Now, Out);
   else if (Given.Outcome == PlaceOutcome::Queued)
     P.WaitId = Given.WaitId;
   else
     giveUp(Index);
 }
 
-void RelayRequest::send(std::size_t Index, ServerRef Server, TimePoint Now,
-                        RelayActions &Out) {
+void RelayRequest::send(std::size_t Index, ServerRef Server, AttemptCause Cause,
+                        TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   ++P.Sent;
   ++P.Live;
   P.Tried.push_back(Server);
   P.RetryAt = absl::InfiniteFuture();
   P.HedgeAt = absl::InfiniteFuture();
+  P.Obstacle = HedgeObstacle::None;
   if (repeatable() && P.Sent < Plan.Taken->MaxAttempts)
     P.HedgeAt = Now + Plan.Stats->hedgeDelay();
-  Attempts.push_back(Attempt{Index, Server, Now, true});
+  Attempts.push_back(Attempt{Index, Server, Now, Cause});
   Out.push_back(SendRelayAttempt{Attempts.size() - 1, std::move(Server),
-                                 Plan.Deadline - Now});
+                                 Plan.Deadline - Now, Cause});
 }
 
 void RelayRequest::leaveQueue(std::size_t Index) {
@@ -226,7 +228,7 @@
     return;
   }
   P.RetryAt = absl::InfiniteFuture();
-  place(Index, Now, Out);
+  place(Index, First ? AttemptCause::First : AttemptCause::Retry, Now, Out);
   if (P.State != PartState::GivenUp || !T.Pool->usable())
     return;
   // Every server was tried: the first one may have room by now.
@@ -243,6 +245,7 @@
   const bool Late = Open <= 2;
   if (!T.Budget->spend(Late ? HedgeReserve : EarlyHedgeReserve, Plan.Instances,
                        Now)) {
+    P.Obstacle = HedgeObstacle::Budget;
     P.HedgeAt = Now + BudgetWait;
     return;
   }
@@ -251,10 +254,11 @@
   Place Given = T.Pool->acquire(Ask, false, nullptr, Now);
   if (Given.Outcome != PlaceOutcome::Granted) {
     T.Budget->refund(Now);
+    P.Obstacle = HedgeObstacle::NoServer;
     P.HedgeAt = Now + BudgetWait;
     return;
   }
-  send(Index, std::move(Given.Server), Now, Out);
+  send(Index, std::move(Given.Server), AttemptCause::Hedge, Now, Out);
 }
 
 void RelayRequest::onTimer(TimePoint Now, RelayActions &Out) {
@@ -295,10 +299,17 @@
   return V;
 }
 
-std::string RelayRequest::describeMissing() const {
+std::size_t RelayRequest::partsWithheld(HedgeObstacle Obstacle) const {
+  return static_cast<std::size_t>(
+      std::count_if(Parts.begin(), Parts.end(), [Obstacle](const Part &P) {
+        return P.Obstacle == Obstacle;
+      }));
+}
+
+std::string RelayRequest::describe(bool OnlyMissing) const {
   std::string Text;
   for (std::size_t I = 0; I < Parts.size(); ++I) {
-    if (Parts[I].State == PartState::Answered)
+    if (OnlyMissing && Parts[I].State == PartState::Answered)
       continue;
     absl::StrAppend(&Text, Text.empty() ? "" : " ", Plan.Targets[I].Service,
                     "(");
@@ -311,6 +322,9 @@
                       A.Live ? "" : "!");
       Gap = ",";
     }
+    if (Parts[I].Obstacle != HedgeObstacle::None)
+      absl::StrAppend(&Text, Gap,
+                      nameOf(HedgeObstacleNames, Parts[I].Obstacle));
     absl::StrAppend(&Text, ")");
   }
   return Text;
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -3,6 +3,7 @@
 
 #include "core/relay/BackendPool.h"
 #include "core/relay/ExtraLoadBudget.h"
+#include "core/relay/HedgeObstacle.h"
 #include "core/relay/RelayActions.h"
 #include "core/relay/Route.h"
 #include "core/relay/RouteStats.h"
@@ -73,9 +74,19 @@
   const std::shared_ptr<BackendPool> &poolOf(std::size_t Id) const {
     return Plan.Targets[Attempts[Id].Part].Pool;
   }
-  /// The parts without an answer, for the log: of each its service, and the
-  /// servers that were asked with the milliseconds after the arrival.
-  std::string describeMissing() const;
+  const std::string &serviceOf(std::size_t Id) const {
+    return Plan.Targets[Attempts[Id].Part].Service;
+  }
+  AttemptCause causeOf(std::size_t Id) const { return Attempts[Id].Cause; }
+  TimePoint sentAt(std::size_t Id) const { return Attempts[Id].Sent; }
+  /// Parts whose last hedge that was due was not sent for \p Obstacle.
+  std::size_t partsWithheld(HedgeObstacle Obstacle) const;
+  /// The parts without an answer, for the log: of each its service, the
+  /// servers that were asked with the milliseconds after the arrival, and what
+  /// kept back a hedge.
+  std::string describeMissing() const { return describe(true); }
+  /// The same of all parts.
+  std::string describeParts() const { return describe(false); }
 
 private:
   enum class PartState { Open, Answered, GivenUp };
@@ -87,6 +98,8 @@
     std::vector<ServerRef> Tried;
     TimePoint HedgeAt = absl::InfiniteFuture();
     TimePoint RetryAt = absl::InfiniteFuture();
+    /// Why the hedge that is due waits.
+    HedgeObstacle Obstacle = HedgeObstacle::None;
     /// The last whole answer that is no success.
     std::shared_ptr<BackendAnswer> Failure;
     std::shared_ptr<BackendAnswer> Answer;
@@ -95,15 +108,18 @@
     std::size_t Part = 0;
     ServerRef Server;
     TimePoint Sent;
+    AttemptCause Cause = AttemptCause::First;
     bool Live = true;
     /// Its server did not run it, and never will.
     bool Unrun = false;
   };
 
   PlaceRequest placeRequest(const Part &P) const;
-  void place(std::size_t Index, TimePoint Now, RelayActions &Out);
-  void send(std::size_t Index, ServerRef Server, TimePoint Now,
-            RelayActions &Out);
+  std::string describe(bool OnlyMissing) const;
+  void place(std::size_t Index, AttemptCause Cause, TimePoint Now,
+             RelayActions &Out);
+  void send(std::size_t Index, ServerRef Server, AttemptCause Cause,
+            TimePoint Now, RelayActions &Out);
   void hedge(std::size_t Index, TimePoint Now, RelayActions &Out);
   void retry(std::size_t Index, TimePoint Now, RelayActions &Out);
   void retryOrGiveUp(std::size_t Index, TimePoint Now);
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -83,6 +83,17 @@
     S.Pool->serveQueue(Now);
 }
 
+std::map<std::string, ServiceSnapshot>
+RelayState::snapshot(TimePoint Now) const {
+  std::map<std::string, ServiceSnapshot> Out;
+  for (const auto &[Name, S] : Services) {
+    ServiceSnapshot Seen = S.Pool->snapshot(Now);
+    Seen.ExtraAttempts = S.Budget->available(Instances, Now);
+    Out.emplace(Name, Seen);
+  }
+  return Out;
+}
+
 RelayPlan RelayState::plan(const Route &Taken, TimePoint Arrived,
                            Duration TimeLeft) {
   RelayPlan Plan;
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -48,6 +48,9 @@
   /// Plans a request on a route of table().
   RelayPlan plan(const Route &Taken, TimePoint Arrived, Duration TimeLeft);
 
+  /// Every service that was ever named by a sheet or a server.
+  std::map<std::string, ServiceSnapshot> snapshot(TimePoint Now) const;
+
   /// Hands free places to all queues.
   void serveQueues(TimePoint Now);
 
--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -1,4 +1,5 @@
 #include "relay/BackendClient.h"
+#include "runtime/Logger.h"
 #include <algorithm>
 
 namespace quetzallead {
@@ -31,6 +32,26 @@
                     [](const auto &C) { return C->ready() && !C->busy(); }));
 }
 
+void BackendClient::noteUnreachable(Link &L, absl::string_view Reason) {
+  PoolServer &S = *L.Server;
+  if (!S.Unreachable)
+    logEvent(LogLevel::Warning, "server_unreachable",
+             {{"server", S.Info.Id},
+              {"service", S.Info.Service},
+              {"zone", S.Info.Zone},
+              {"reason", Reason},
+              {"in_flight", S.inFlight()}});
+  S.Unreachable = true;
+}
+
+void BackendClient::noteReachable(Link &L) {
+  PoolServer &S = *L.Server;
+  if (S.Unreachable)
+    logEvent(LogLevel::Info, "server_reachable",
+             {{"server", S.Info.Id}, {"service", S.Info.Service}});
+  S.Unreachable = false;
+}
+
 std::shared_ptr<HttpConnection> BackendClient::open(Link &L) {
   auto C = std::make_shared<HttpConnection>(
       Loop, Timers, L.Server->Info.Address, HttpConnectionLimits());
@@ -41,7 +62,7 @@
     if (Known == Links.end())
       return;
     Known->second.ReconnectWait = absl::ZeroDuration();
-    Known->second.Server->Unreachable = false;
+    noteReachable(Known->second);
     count(Known->second);
   };
   C->OnClosed = [this, Key, Raw](bool WasConnected) {
@@ -98,10 +119,10 @@
   const bool Silent =
       Result == AttemptResult::TimedOut && Elapsed >= SilenceTime;
   if (Result == AttemptResult::NotSent || Silent) {
-    L.Server->Unreachable = true;
+    noteUnreachable(L, Silent ? "silent" : "not_sent");
     reconnectLater(L);
   } else if (Result == AttemptResult::Answered) {
-    L.Server->Unreachable = false;
+    noteReachable(L);
     L.ReconnectWait = absl::ZeroDuration();
   }
   count(L);
@@ -130,7 +151,7 @@
   }
   if (WasConnected)
     return;
-  L.Server->Unreachable = true;
+  noteUnreachable(L, "no_connection");
   reconnectLater(L);
 }
 
@@ -152,7 +173,7 @@
         if (Mine.Connections.empty())
           open(Mine)->connect();
         else
-          Mine.Server->Unreachable = false;
+          noteReachable(Mine);
       });
 }
 
--- a/src/relay/BackendClient.h
+++ b/src/relay/BackendClient.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_RELAY_BACKENDCLIENT_H
 #define QUETZALLEAD_RELAY_BACKENDCLIENT_H
 
+#include "absl/strings/string_view.h"
 #include "core/relay/BackendPool.h"
 #include "relay/HttpConnection.h"
 #include <map>
@@ -37,6 +38,8 @@
   std::shared_ptr<HttpConnection> open(Link &L);
   std::shared_ptr<HttpConnection> takeIdle(Link &L, TimePoint Now);
   static void count(Link &L);
+  static void noteUnreachable(Link &L, absl::string_view Reason);
+  static void noteReachable(Link &L);
   void onEnded(const PoolServer *Key, AttemptResult Result, Duration Elapsed);
   void onClosed(const PoolServer *Key, const HttpConnection *Gone,
                 bool WasConnected);
--- a/src/relay/KeyFollower.cpp
+++ b/src/relay/KeyFollower.cpp
@@ -35,6 +35,7 @@
 
 void KeyFollower::onAnswered() {
   Failures = 0;
+  AnsweredAt = LoopTimers::now();
   if (!Lost)
     return;
   Lost = false;
--- a/src/relay/KeyFollower.h
+++ b/src/relay/KeyFollower.h
@@ -50,6 +50,9 @@
   void start();
   /// True once all keys have been read at least once.
   bool everComplete() const { return EverComplete; }
+  /// When the store last answered; a watch without changes is answered at the
+  /// end of its wait only.
+  TimePoint answeredAt() const { return AnsweredAt; }
 
 private:
   void readPage(const std::string &After);
@@ -72,6 +75,7 @@
   bool FirstPage = true;
   bool FirstWatch = true;
   bool EverComplete = false;
+  TimePoint AnsweredAt = absl::InfinitePast();
   bool Lost = false;
   int Failures = 0;
   std::shared_ptr<LoopTimers::Subscription> Timer;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -4,15 +4,18 @@
 #include "runtime/Logger.h"
 #include <algorithm>
 #include <csignal>
+#include <xxhash.h>
 
 namespace quetzallead {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-/// Told to callers of an instance that has no sheet yet; about the time that
-/// reading it takes.
-static constexpr Duration UnreadyRetryAfter = absl::Milliseconds(300);
+/// Bounds of what callers of an instance are told that has not read sheet and
+/// servers yet. Mostly that takes some 10 ms; where it has taken long already,
+/// it may take as long again.
+static constexpr Duration LeastUnreadyRetryAfter = absl::Milliseconds(30);
+static constexpr Duration MostUnreadyRetryAfter = absl::Seconds(1);
 /// Told to callers of an instance that is about to end; another one has room.
 static constexpr Duration StoppingRetryAfter = absl::Milliseconds(10);
 /// Between changes of servers and the next watch: a server's start or stop is
@@ -26,6 +29,11 @@
 static constexpr Duration LeavingMargin = absl::Milliseconds(600);
 /// Between two looks at a stop.
 static constexpr Duration StopStep = absl::Milliseconds(50);
+/// Of the requests that went well, one in this many leaves a log line: enough
+/// to compare a failure with.
+static constexpr std::uint64_t ServedSampleRate = 200;
+/// Characters of a request's target in a log line.
+static constexpr std::size_t MostLoggedTarget = 200;
 /// Before the accepting of callers goes on when there are no descriptors.
 static constexpr Duration AcceptPause = absl::Milliseconds(50);
 
@@ -44,16 +52,30 @@
                     absl::ZeroDuration(), S.ReturnTime);
 }
 
+/// Handlers of a listener that answers every request at once by \p Answer.
+static CallerHandlers
+answering(std::function<void(const std::shared_ptr<CallerSession> &)> Answer) {
+  CallerHandlers Handlers;
+  Handlers.OnRequest =
+      [Answer = std::move(Answer)](const std::shared_ptr<CallerSession> &Asker,
+                                   const HttpRequest &) { Answer(Asker); };
+  Handlers.OnLeft = [](CallerSession &) {};
+  Handlers.OnClosed = [](CallerSession &) {};
+  Handlers.Limits = [] { return ClientLimits(); };
+  Handlers.Closing = [] { return false; };
+  return Handlers;
+}
+
 RelayDaemon::RelayDaemon(RelaySettings GivenSettings,
                          Deployment GivenSurroundings)
     : Settings(std::move(GivenSettings)),
       Surroundings(std::move(GivenSurroundings)), Loop(1), Timers(Loop),
-      State(stateOptions(Settings)),
+      State(stateOptions(Settings)), Metrics(Settings.Instance, Settings.Zone),
       Feed(Settings.ReturnTime, loneReturnTime(Settings)),
       Backends(Loop, Timers),
       Store(Surroundings.MakeStore(Loop, Timers, Settings.StoreAddress,
                                    Settings.StoreTimeout)),
-      CallerListener(Loop), ReadinessListener(Loop),
+      CallerListener(Loop), ReadinessListener(Loop), MetricsListener(Loop),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP) {
   CallerParts.OnRequest = [this](const std::shared_ptr<CallerSession> &Caller,
                                  HttpRequest Request) {
@@ -65,6 +87,9 @@
       return;
     std::shared_ptr<RelaySession> Session = std::move(Found->second);
     Active.erase(Found);
+    RelayVerdict Left;
+    Left.Outcome = RelayOutcome::CallerLeft;
+    noteEnd(*Session, Left);
     Session->callerLeft();
   };
   CallerParts.OnClosed = [this](CallerSession &Caller) {
@@ -75,13 +100,10 @@
                                     : ClientLimits();
   };
   CallerParts.Closing = [this] { return stopping(); };
-  ReadinessParts.OnRequest =
-      [this](const std::shared_ptr<CallerSession> &Prober,
-             const HttpRequest &) { onReadiness(Prober); };
-  ReadinessParts.OnLeft = [](CallerSession &) {};
-  ReadinessParts.OnClosed = [](CallerSession &) {};
-  ReadinessParts.Limits = [] { return ClientLimits(); };
-  ReadinessParts.Closing = [] { return false; };
+  ReadinessParts = answering(
+      [this](const std::shared_ptr<CallerSession> &S) { onReadiness(S); });
+  MetricsParts = answering(
+      [this](const std::shared_ptr<CallerSession> &S) { onScrape(S); });
 }
 
 Result<bool> RelayDaemon::bind(Acceptor &Listener, const std::string &Address) {
@@ -103,9 +125,21 @@
 
 Result<bool> RelayDaemon::listen() {
   Result<bool> Bound = bind(CallerListener, Settings.CallerListen);
-  if (!Bound)
+  if (Bound)
+    Bound = bind(ReadinessListener, Settings.ReadinessListen);
+  if (!Bound || Settings.MetricsListen.empty())
     return Bound;
-  return bind(ReadinessListener, Settings.ReadinessListen);
+  // Callers are served without metrics too.
+  auto Scraped =
+      capture([this] { return bind(MetricsListener, Settings.MetricsListen); });
+  if (auto *Fault = std::get_if<Error>(&Scraped)) {
+    logEvent(LogLevel::Error, "metrics_not_served",
+             {{"reason", Fault->text()}});
+    error_code Ignored;
+    // Nothing can be done about a failing close.
+    MetricsListener.close(Ignored);
+  }
+  return true;
 }
 
 void RelayDaemon::accept(Acceptor &Listener, CallerHandlers &Handlers,
@@ -263,32 +297,95 @@
   own(*Prober, ready() ? 200 : 503, absl::ZeroDuration());
 }
 
+static Duration ageOf(TimePoint Since, TimePoint Now) {
+  return Since == absl::InfinitePast() ? absl::InfiniteDuration() : Now - Since;
+}
+
+RelaySnapshot RelayDaemon::snapshot(TimePoint Now) const {
+  RelaySnapshot Out;
+  Out.Ready = ready();
+  if (State.table() != nullptr)
+    Out.SheetVersion = State.table()->sheet().Version;
+  Out.SheetAge = ageOf(SheetFollower->answeredAt(), Now);
+  Out.ServersAge = ageOf(ServerFollower->answeredAt(), Now);
+  Out.Instances = State.instances();
+  Out.CallerConnections = Callers.size();
+  Out.RequestsInFlight = Active.size();
+  Out.Services = State.snapshot(Now);
+  return Out;
+}
+
+void RelayDaemon::onScrape(const std::shared_ptr<CallerSession> &Scraper) {
+  const bool KeepOpen = Scraper->mayKeepOpen();
+  Scraper->answer(
+      encodeMetricsAnswer(Metrics.text(snapshot(LoopTimers::now())), KeepOpen),
+      KeepOpen);
+}
+
 void RelayDaemon::own(CallerSession &Caller, unsigned Status,
                       Duration RetryAfter) {
   const bool KeepOpen = Caller.mayKeepOpen();
   Caller.answer(encodeOwnAnswer(Status, RetryAfter, KeepOpen), KeepOpen);
 }
 
+static unsigned statusOf(RejectReason Reason) {
+  switch (Reason) {
+  case RejectReason::NoHost:
+    return 400;
+  case RejectReason::NoRoute:
+    return 404;
+  case RejectReason::NoSheet:
+  case RejectReason::NoServers:
+  case RejectReason::Stopping:
+    break;
+  }
+  return 503;
+}
+
+void RelayDaemon::reject(CallerSession &Caller, const RelayCall &Call,
+                         RejectReason Reason, TimePoint Now) {
+  Duration RetryAfter = absl::ZeroDuration();
+  if (Reason == RejectReason::Stopping)
+    RetryAfter = StoppingRetryAfter;
+  else if (statusOf(Reason) == 503)
+    RetryAfter = std::clamp(Now - StartedAt, LeastUnreadyRetryAfter,
+                            MostUnreadyRetryAfter);
+  logEvent(
+      LogLevel::Info, "request_rejected",
+      {{"request", Call.RequestId},
+       {"reason", nameOf(RejectReasonNames, Reason)},
+       {"host", Call.Host},
+       {"target", Call.Target.substr(0, MostLoggedTarget)},
+       {"sheet", State.table() != nullptr ? State.table()->sheet().Version : 0},
+       {"retry_after_ms", absl::ToInt64Milliseconds(RetryAfter)}});
+  Metrics.requestRejected(Reason);
+  own(Caller, statusOf(Reason), RetryAfter);
+}
+
 void RelayDaemon::onRequest(const std::shared_ptr<CallerSession> &Caller,
                             HttpRequest Request) {
   const TimePoint Now = LoopTimers::now();
   RelayCall Call = decodeCall(Request, Surroundings.Headers, Now);
   const std::shared_ptr<const RouteTable> Table = State.table();
-  if (Table == nullptr || !ServerFollower->everComplete()) {
-    own(*Caller, 503, UnreadyRetryAfter);
+  if (Table == nullptr) {
+    reject(*Caller, Call, RejectReason::NoSheet, Now);
+    return;
+  }
+  if (!ServerFollower->everComplete()) {
+    reject(*Caller, Call, RejectReason::NoServers, Now);
     return;
   }
   if (Now >= Stop.RefuseNew) {
-    own(*Caller, 503, StoppingRetryAfter);
+    reject(*Caller, Call, RejectReason::Stopping, Now);
     return;
   }
   if (Call.Host.empty()) {
-    own(*Caller, 400, absl::ZeroDuration());
+    reject(*Caller, Call, RejectReason::NoHost, Now);
     return;
   }
   const Route *Taken = Table->find(Call.Host, Call.Target);
   if (Taken == nullptr) {
-    own(*Caller, 404, absl::ZeroDuration());
+    reject(*Caller, Call, RejectReason::NoRoute, Now);
     return;
   }
   RelayPlan Plan =
@@ -298,8 +395,9 @@
   std::weak_ptr<CallerSession> Weak = Caller;
   CallerSession *Key = Caller.get();
   auto Session = std::make_shared<RelaySession>(
-      Backends, Timers, Surroundings.Headers, std::move(Call), Table,
-      std::move(Plan), [this, Weak, Key](const RelayVerdict &Verdict) {
+      RelayParts{Backends, Timers, Metrics, Surroundings.Headers},
+      std::move(Call), Table, std::move(Plan),
+      [this, Weak, Key](const RelayVerdict &Verdict) {
         auto Found = Active.find(Key);
         if (Found == Active.end())
           return;
@@ -312,37 +410,82 @@
   Session->start();
 }
 
-void RelayDaemon::onVerdict(CallerSession &Caller, const RelaySession &Session,
-                            const RelayVerdict &Verdict) {
+/// True for an answer that a caller can use.
+static bool isServed(const RelayVerdict &Verdict) {
+  return Verdict.Outcome == RelayOutcome::Merged ||
+         (Verdict.Outcome == RelayOutcome::Relayed &&
+          Verdict.Answers[0]->Status < 500);
+}
+
+/// True for one request in ServedSampleRate, the same at every instance.
+static bool isSampled(const std::string &RequestId) {
+  return XXH3_64bits(RequestId.data(), RequestId.size()) % ServedSampleRate ==
+         0;
+}
+
+void RelayDaemon::logRequest(const RelaySession &Session,
+                             const RelayVerdict &Verdict, TimePoint Now) const {
   const RelayCall &Call = Session.call();
   const RelayRequest &Request = Session.request();
-  const bool Fine = (Verdict.Outcome == RelayOutcome::Relayed &&
-                     Verdict.Answers[0]->Status < 500) ||
-                    Verdict.Outcome == RelayOutcome::Merged;
-  if (!Fine)
-    logEvent(
-        LogLevel::Info, "request_failed",
-        {{"request", Call.RequestId},
-         {"route", Request.plan().Taken->Name},
-         {"outcome", nameOf(RelayOutcomeNames, Verdict.Outcome)},
-         {"sheet", Session.sheetVersion()},
-         {"missing", Request.describeMissing()},
-         {"retry_after_ms", absl::ToInt64Milliseconds(Verdict.RetryAfter)},
-         {"ms", absl::ToInt64Milliseconds(LoopTimers::now() - Call.Arrived)}});
+  const Route &Taken = *Request.plan().Taken;
+  const auto Millis = absl::ToInt64Milliseconds(Now - Call.Arrived);
+  if (!isServed(Verdict)) {
+    logEvent(LogLevel::Info, "request_failed",
+             {{"request", Call.RequestId},
+              {"route", Taken.Name},
+              {"outcome", nameOf(RelayOutcomeNames, Verdict.Outcome)},
+              {"sheet", Session.sheetVersion()},
+              {"missing", Request.describeMissing()},
+              {"retry_after_ms", absl::ToInt64Milliseconds(Verdict.RetryAfter)},
+              {"ms", Millis}});
+    return;
+  }
   if (Verdict.Missing > 0)
-    logEvent(
-        LogLevel::Info, "parts_missing",
-        {{"request", Call.RequestId},
-         {"route", Request.plan().Taken->Name},
-         {"missing", Request.describeMissing()},
-         {"hedge_ms",
-          absl::ToDoubleMilliseconds(Request.plan().Stats->hedgeDelay())},
-         {"ms", absl::ToInt64Milliseconds(LoopTimers::now() - Call.Arrived)}});
+    logEvent(LogLevel::Info, "parts_missing",
+             {{"request", Call.RequestId},
+              {"route", Taken.Name},
+              {"sheet", Session.sheetVersion()},
+              {"missing", Request.describeMissing()},
+              {"hedge_ms",
+               absl::ToDoubleMilliseconds(Request.plan().Stats->hedgeDelay())},
+              {"ms", Millis}});
+  const bool Late = Now - Call.Arrived > Taken.Objective;
+  if (!Late && !isSampled(Call.RequestId))
+    return;
+  logEvent(LogLevel::Info, Late ? "request_late" : "request_served",
+           {{"request", Call.RequestId},
+            {"route", Taken.Name},
+            {"sheet", Session.sheetVersion()},
+            {"parts", Request.describeParts()},
+            {"objective_ms", absl::ToInt64Milliseconds(Taken.Objective)},
+            {"ms", Millis}});
+}
+
+void RelayDaemon::noteEnd(const RelaySession &Session,
+                          const RelayVerdict &Verdict) {
+  const RelayRequest &Request = Session.request();
+  const TimePoint Now = LoopTimers::now();
+  logRequest(Session, Verdict, Now);
+  RelayRequestSample Sample;
+  Sample.Route = Request.plan().Taken->Name;
+  Sample.Outcome = Verdict.Outcome;
+  Sample.Elapsed = Now - Session.call().Arrived;
+  Sample.Objective = Request.plan().Taken->Objective;
+  Sample.WantedParts = Request.plan().Targets.size();
+  Sample.MissingParts = Verdict.Missing;
+  Sample.HedgesWithoutBudget = Request.partsWithheld(HedgeObstacle::Budget);
+  Sample.HedgesWithoutServer = Request.partsWithheld(HedgeObstacle::NoServer);
+  Metrics.requestEnded(Sample);
+}
+
+void RelayDaemon::onVerdict(CallerSession &Caller, const RelaySession &Session,
+                            const RelayVerdict &Verdict) {
+  noteEnd(Session, Verdict);
   const bool KeepOpen = Caller.mayKeepOpen();
-  Caller.answer(encodeAnswer(Verdict, Request.plan().Taken->RecordsWanted,
-                             Surroundings.Headers, Caller.headRequest(),
-                             KeepOpen),
-                KeepOpen);
+  Caller.answer(
+      encodeAnswer(Verdict, Session.request().plan().Taken->RecordsWanted,
+                   Surroundings.Headers, Caller.headRequest(), KeepOpen),
+      KeepOpen);
 }
 
 void RelayDaemon::waitForSignal() {
@@ -385,10 +528,13 @@
 }
 
 void RelayDaemon::run() {
+  StartedAt = LoopTimers::now();
   logEvent(LogLevel::Info, "started",
            {{"zone", Settings.Zone}, {"listen", Settings.CallerListen}});
   accept(CallerListener, CallerParts, true);
   accept(ReadinessListener, ReadinessParts, false);
+  if (MetricsListener.is_open())
+    accept(MetricsListener, MetricsParts, false);
   waitForSignal();
   followStore();
   Loop.run();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -7,6 +7,8 @@
 #include "relay/Deployment.h"
 #include "relay/FleetCount.h"
 #include "relay/KeyFollower.h"
+#include "relay/RejectReason.h"
+#include "relay/RelayMetrics.h"
 #include "relay/RelaySession.h"
 #include "relay/RelaySettings.h"
 #include "relay/StopPlan.h"
@@ -43,10 +45,19 @@
   void expireServers();
   void onRequest(const std::shared_ptr<CallerSession> &Caller,
                  HttpRequest Request);
+  /// Turns \p Call away before it meets a route.
+  void reject(CallerSession &Caller, const RelayCall &Call, RejectReason Reason,
+              TimePoint Now);
   void onReadiness(const std::shared_ptr<CallerSession> &Prober);
+  void onScrape(const std::shared_ptr<CallerSession> &Scraper);
+  RelaySnapshot snapshot(TimePoint Now) const;
   void own(CallerSession &Caller, unsigned Status, Duration RetryAfter);
   void onVerdict(CallerSession &Caller, const RelaySession &Session,
                  const RelayVerdict &Verdict);
+  /// Logs and counts a request that has ended.
+  void noteEnd(const RelaySession &Session, const RelayVerdict &Verdict);
+  void logRequest(const RelaySession &Session, const RelayVerdict &Verdict,
+                  TimePoint Now) const;
   bool ready() const;
   bool stopping() const { return Stop.Begun != absl::InfiniteFuture(); }
   void waitForSignal();
@@ -58,6 +69,7 @@
   boost::asio::io_context Loop;
   LoopTimers Timers;
   RelayState State;
+  RelayMetrics Metrics;
   ServerFeed Feed;
   BackendClient Backends;
   std::unique_ptr<RevisionedStore> Store;
@@ -66,11 +78,14 @@
   std::unique_ptr<FleetCount> Fleet;
   Acceptor CallerListener;
   Acceptor ReadinessListener;
+  Acceptor MetricsListener;
   boost::asio::signal_set Signals;
   CallerHandlers CallerParts;
   CallerHandlers ReadinessParts;
+  CallerHandlers MetricsParts;
   std::set<CallerSession *> Callers;
   std::map<CallerSession *, std::shared_ptr<RelaySession>> Active;
+  TimePoint StartedAt = absl::InfinitePast();
   StopPlan Stop;
   std::shared_ptr<LoopTimers::Subscription> StopTimer;
   std::shared_ptr<LoopTimers::Subscription> ExpiryTimer;
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -144,6 +144,13 @@
   return Out;
 }
 
+std::string encodeMetricsAnswer(absl::string_view Text, bool KeepOpen) {
+  return absl::StrCat(statusLine(200, "OK"),
+                      "Content-Type: text/plain; version=0.0.4\r\n",
+                      KeepOpen ? "" : "Connection: close\r\n",
+                      "Content-Length: ", Text.size(), "\r\n\r\n", Text);
+}
+
 static std::string encodeRelayed(const BackendAnswer &Answer, bool HeadRequest,
                                  bool KeepOpen) {
   std::string Out = statusLine(Answer.Status, Answer.Reason);
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -39,6 +39,10 @@
 std::string encodeOwnAnswer(unsigned Status, Duration RetryAfter,
                             bool KeepOpen);
 
+/// An answer of the relay's own that holds metrics in the text format of
+/// Prometheus.
+std::string encodeMetricsAnswer(absl::string_view Text, bool KeepOpen);
+
 } // namespace quetzallead
 
 #endif // QUETZALLEAD_RELAY_RELAYMESSAGES_H
--- a/src/relay/RelaySession.h
+++ b/src/relay/RelaySession.h
@@ -11,6 +11,16 @@
 
 namespace quetzallead {
 
+class RelayMetrics;
+
+/// What all sessions of a relay use.
+struct RelayParts {
+  BackendClient &Backends;
+  LoopTimers &Timers;
+  RelayMetrics &Metrics;
+  const HeaderNames &Names;
+};
+
 /// Carries out one RelayRequest: sends its attempts, feeds what comes of them
 /// back and passes on the verdict. Keeps itself alive until its last attempt
 /// has ended, which may be after the answer.
@@ -20,8 +30,7 @@
   using Completion = std::function<void(const RelayVerdict &)>;
 
   /// \p Table holds the plan's route.
-  RelaySession(BackendClient &Backends, LoopTimers &Timers,
-               const HeaderNames &Names, RelayCall Call,
+  RelaySession(RelayParts Shared, RelayCall Call,
                std::shared_ptr<const RouteTable> Table, RelayPlan Plan,
                Completion OnDone);
 
@@ -35,11 +44,12 @@
 private:
   void perform(RelayActions Actions);
   void send(const SendRelayAttempt &Action);
+  void onEnd(std::size_t Attempt, const HttpExchangeEnd &End);
+  void logExtra(const SendRelayAttempt &Action, TimePoint Now) const;
+  void logEnd(std::size_t Attempt, const AttemptEnd &End, TimePoint Now) const;
   void rearm();
 
-  BackendClient &Backends;
-  LoopTimers &Timers;
-  const HeaderNames &Names;
+  RelayParts Parts;
   RelayCall Call;
   std::shared_ptr<const RouteTable> Table;
   RelayRequest Request;
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -17,6 +17,8 @@
   S.Zone = Reader.name("zone");
   S.CallerListen = Reader.address("caller_listen");
   S.ReadinessListen = Reader.address("readiness_listen");
+  if (Reader.has("metrics_listen"))
+    S.MetricsListen = Reader.address("metrics_listen");
   JsonReader Store = Reader.object("store");
   S.StoreAddress = Store.address("address");
   S.StoreTimeout = Store.milliseconds("timeout_ms", absl::Milliseconds(1),
@@ -74,6 +76,8 @@
   Out["zone"] = S.Zone;
   Out["caller_listen"] = S.CallerListen;
   Out["readiness_listen"] = S.ReadinessListen;
+  if (!S.MetricsListen.empty())
+    Out["metrics_listen"] = S.MetricsListen;
   Out["store"]["address"] = S.StoreAddress;
   Out["store"]["timeout_ms"] = absl::ToDoubleMilliseconds(S.StoreTimeout);
   Out["store"]["return_time_ms"] = absl::ToDoubleMilliseconds(S.ReturnTime);
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -15,6 +15,8 @@
   std::string Zone;
   std::string CallerListen;
   std::string ReadinessListen;
+  /// Where metrics are scraped; empty for nowhere.
+  std::string MetricsListen;
   /// "ip:port" of the platform's store.
   std::string StoreAddress;
   /// Limit on a call to the store, without the waiting time of a watch.
--- /dev/null
+++ b/src/relay/RelaySnapshot.h
@@ -0,0 +1,28 @@
+#ifndef QUETZALLEAD_RELAY_RELAYSNAPSHOT_H
+#define QUETZALLEAD_RELAY_RELAYSNAPSHOT_H
+
+#include "core/relay/ServiceSnapshot.h"
+#include "quetzallead/Time.h"
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace quetzallead {
+
+/// What a relay knows and holds at one moment, for its metrics.
+struct RelaySnapshot {
+  bool Ready = false;
+  std::uint64_t SheetVersion = 0;
+  /// Since the store last answered for the sheet and for the servers; infinite
+  /// if it never did.
+  Duration SheetAge = absl::InfiniteDuration();
+  Duration ServersAge = absl::InfiniteDuration();
+  int Instances = 0;
+  std::size_t CallerConnections = 0;
+  std::size_t RequestsInFlight = 0;
+  std::map<std::string, ServiceSnapshot> Services;
+};
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_RELAY_RELAYSNAPSHOT_H
--- a/tests/relay/RelayDaemonTest.cpp
+++ b/tests/relay/RelayDaemonTest.cpp
@@ -1,13 +1,19 @@
 #include "relay/RelayDaemon.h"
+#include "absl/time/clock.h"
 #include "platform/PlatformDeployment.h"
+#include "runtime/Logger.h"
 #include <atomic>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <csignal>
+#include <cstdio>
 #include <gtest/gtest.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace quetzallead;
 using boost::asio::ip::tcp;
@@ -147,8 +153,10 @@
     Settings.Zone = "a";
     CallerPort = freePort();
     ReadinessPort = freePort();
+    MetricsPort = freePort();
     Settings.CallerListen = "127.0.0.1:" + std::to_string(CallerPort);
     Settings.ReadinessListen = "127.0.0.1:" + std::to_string(ReadinessPort);
+    Settings.MetricsListen = "127.0.0.1:" + std::to_string(MetricsPort);
     Settings.StoreAddress = "127.0.0.1:1";
     Settings.StopGrace = absl::Seconds(3);
     Deployment Surroundings = platformDeployment();
@@ -217,6 +225,7 @@
   RelaySettings Settings;
   int CallerPort = 0;
   int ReadinessPort = 0;
+  int MetricsPort = 0;
   std::unique_ptr<RelayDaemon> Relay;
   std::thread Running;
 };
@@ -302,3 +311,78 @@
   Running.join();
   Relay.reset();
 }
+
+TEST_F(RelayDaemonTest, ServesMetricsOfWhatItDid) {
+  tcp::socket Caller = connect(CallerPort);
+  send(Caller, get("/a"));
+  receive(Caller, 2);
+  send(Caller, "GET / HTTP/1.1\r\nHost: other\r\n\r\n");
+  receive(Caller, 0);
+  tcp::socket Scraper = connect(MetricsPort);
+  send(Scraper, "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: "
+                "close\r\n\r\n");
+  std::string Text;
+  boost::system::error_code Ended;
+  boost::asio::read(Scraper, boost::asio::dynamic_buffer(Text), Ended);
+  EXPECT_EQ(Text.substr(9, 3), "200");
+  for (const char *Series :
+       {R"(quetzallead_requests_total{instance_name="i",zone="a",)"
+        R"(outcome="relayed",route="r"} 1)",
+        R"(quetzallead_rejected_requests_total{instance_name="i",zone="a",)"
+        R"(reason="no_route"} 1)",
+        R"(cause="first",result="answered",service="x"} 1)",
+        R"(quetzallead_sheet_version{instance_name="i",zone="a"} 3)",
+        R"(quetzallead_ready{instance_name="i",zone="a"} 1)",
+        R"(service="x",standing="sound"} 1)"})
+    EXPECT_NE(Text.find(Series), std::string::npos) << Series << "\n" << Text;
+}
+
+// A reader of the log that stops reading must not hold up callers.
+TEST_F(RelayDaemonTest, DelaysNobodyWhenTheLogIsNotRead) {
+  int Pipe[2] = {-1, -1};
+  ASSERT_EQ(pipe(Pipe), 0);
+  const int Output = dup(STDOUT_FILENO);
+  std::fflush(stdout);
+  ASSERT_GE(dup2(Pipe[1], STDOUT_FILENO), 0);
+  initBoundedLogging(LogLevel::Info, "i", 1e5);
+  // More than the pipe takes.
+  const std::string Long(1500, 'x');
+  absl::Duration Longest = absl::ZeroDuration();
+  tcp::socket Caller = connect(CallerPort);
+  int Answered = 0;
+  for (int I = 0; I < 500; ++I) {
+    const absl::Time Sent = absl::Now();
+    send(Caller, "GET /" + Long + " HTTP/1.1\r\nHost: other\r\n\r\n");
+    Answered += receive(Caller, 0).substr(9, 3) == "404" ? 1 : 0;
+    Longest = std::max(Longest, absl::Now() - Sent);
+  }
+  std::fflush(stdout);
+  dup2(Output, STDOUT_FILENO);
+  close(Output);
+  int Unread = 0;
+  EXPECT_EQ(ioctl(Pipe[0], FIONREAD, &Unread), 0);
+  close(Pipe[0]);
+  close(Pipe[1]);
+  initLogging(LogLevel::Error, "", "test");
+  EXPECT_EQ(Answered, 500);
+  EXPECT_GE(Unread, 32 << 10) << "the pipe should have been filled";
+  EXPECT_LT(Longest, absl::Milliseconds(500));
+}
+
+// Another process may have the port: callers are served all the same.
+TEST(RelayDaemonStartTest, ServesWithoutMetricsIfTheirPortIsTaken) {
+  boost::asio::io_context Loop;
+  const tcp::endpoint Any(boost::asio::ip::make_address("127.0.0.1"), 0);
+  tcp::acceptor Taken(Loop, Any, false);
+  RelaySettings Settings;
+  Settings.Instance = "i";
+  Settings.Zone = "a";
+  Settings.CallerListen = "127.0.0.1:0";
+  Settings.ReadinessListen = "127.0.0.1:0";
+  Settings.MetricsListen =
+      "127.0.0.1:" + std::to_string(Taken.local_endpoint().port());
+  Settings.StoreAddress = "127.0.0.1:1";
+  RelayDaemon Relay(Settings, platformDeployment());
+  auto Bound = capture([&] { return Relay.listen(); });
+  EXPECT_TRUE(std::holds_alternative<bool>(Bound));
+}
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -26,6 +26,36 @@
   EXPECT_TRUE(W.Cancelled.empty());
 }
 
+TEST(RelayRequestTest, TellsWhyAnAttemptWasSentAndWhyAHedgeWasNot) {
+  RelayWorld W(1, 1);
+  W.begin();
+  W.wait(absl::Milliseconds(60));
+  EXPECT_EQ(W.Request->partsWithheld(HedgeObstacle::NoServer), 1u);
+  EXPECT_EQ(W.Request->describeMissing(), "s0(s0-0@0,no_server)");
+  RelayWorld Hedged(1);
+  Hedged.begin();
+  Hedged.wait(absl::Milliseconds(60));
+  EXPECT_EQ(Hedged.Request->causeOf(0), AttemptCause::First);
+  EXPECT_EQ(Hedged.Request->causeOf(1), AttemptCause::Hedge);
+  EXPECT_EQ(Hedged.Request->partsWithheld(HedgeObstacle::None), 1u);
+  Hedged.end(0, AttemptResult::Answered);
+  EXPECT_EQ(Hedged.Request->describeMissing(), "");
+  EXPECT_NE(Hedged.Request->describeParts(), "");
+}
+
+TEST(RelayRequestTest, ARepeatOfWhatWasNeverSentIsTheFirstAttempt) {
+  for (AttemptResult Result : {AttemptResult::NotSent, AttemptResult::Lost}) {
+    RelayWorld W(1);
+    W.begin();
+    W.end(0, Result);
+    W.wait(absl::Milliseconds(5));
+    ASSERT_EQ(W.Sent.size(), 2u);
+    EXPECT_EQ(W.Request->causeOf(1), Result == AttemptResult::NotSent
+                                         ? AttemptCause::First
+                                         : AttemptCause::Retry);
+  }
+}
+
 TEST(RelayRequestTest, SendsToNoMoreServersThanTheRouteAllows) {
   RelayWorld W(1, 5);
   W.begin();
