End connections before libmicrohttpd is stopped

Cause of the crash of HttpServerFuzzTest.SurvivesDamagedRequests (KNOWN-RED.txt): while MHD_stop_daemon runs, MHD_queue_response returns success without taking the response, and the library's own answer to a malformed request goes on with a null one (read at 0x98 in build_header_response). So any instance that stopped while a malformed request arrived could crash. Ruled out: our callbacks (none is on the stack), the accept loop (joined before). Now reading ends on every connection, and the library is stopped once all are closed.

--- a/src/transport/http/HttpServer.cpp
+++ b/src/transport/http/HttpServer.cpp
@@ -140,6 +140,8 @@
                              std::size_t *UploadSize, void **ExchangeCls);
   static void onCompleted(void *Cls, MHD_Connection *, void **ExchangeCls,
                           MHD_RequestTerminationCode);
+  static void onConnection(void *Cls, MHD_Connection *Connection, void **,
+                           MHD_ConnectionNotificationCode Code);
 
   MHD_Result receiveHeaders(Exchange &E, MHD_Connection *Connection,
                             const char *Url, const char *Method);
@@ -150,6 +152,8 @@
   MHD_Result queueNow(MHD_Connection *Connection, HttpResponse Response,
                       bool CloseConnection);
   void answerAll(const HttpResponse &Response);
+  void handOver(int Accepted, const sockaddr *Address, socklen_t Size);
+  void endConnections();
 
   const HttpServerOptions Options;
   const Handler OnRequest;
@@ -160,10 +164,17 @@
   std::atomic<bool> CloseConnections{false};
 
   std::mutex Lock;
+  /// Open or Connections has become empty.
   std::condition_variable AllDone;
   /// Whole requests whose answers have not wholly left.
   absl::flat_hash_set<ExchangePtr> Open;
+  /// Descriptors that the library reads from.
+  absl::flat_hash_set<int> Connections;
+  /// Connections that the library has been given and not begun to read.
+  int NotBegun = 0;
   bool Stopping = false;
+  /// Connections are not read any more.
+  bool Ending = false;
 };
 
 bool MhdHttpServer::serve(int Descriptor) {
@@ -185,7 +196,8 @@
           MHD_USE_NO_LISTEN_SOCKET,
       0, nullptr, nullptr, &onAccess, this, MHD_OPTION_ARRAY, Items.data(),
       MHD_OPTION_URI_LOG_CALLBACK, &onTarget, this, MHD_OPTION_NOTIFY_COMPLETED,
-      &onCompleted, this, MHD_OPTION_END);
+      &onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &onConnection, this,
+      MHD_OPTION_END);
   if (Daemon == nullptr) {
     close(Descriptor);
     return false;
@@ -195,7 +207,7 @@
   Listener = std::make_unique<AcceptLoop>(
       Descriptor,
       [this](int Accepted, const sockaddr *Address, socklen_t Size) {
-        MHD_add_connection(Daemon, Accepted, Address, Size);
+        handOver(Accepted, Address, Size);
       });
   return true;
 }
@@ -214,9 +226,56 @@
     std::unique_lock<std::mutex> Guard(Lock);
     AllDone.wait_for(Guard, StopLimit, [this] { return Open.empty(); });
   }
+  endConnections();
   MHD_stop_daemon(Daemon);
 }
 
+void MhdHttpServer::handOver(int Accepted, const sockaddr *Address,
+                             socklen_t Size) {
+  {
+    std::lock_guard<std::mutex> Guard(Lock);
+    ++NotBegun;
+  }
+  if (MHD_add_connection(Daemon, Accepted, Address, Size) == MHD_YES)
+    return;
+  // Over its limits; the library has closed the descriptor.
+  std::lock_guard<std::mutex> Guard(Lock);
+  --NotBegun;
+}
+
+// The library dereferences null when it finds a request malformed while it is
+// being stopped, so all connections end before.
+void MhdHttpServer::endConnections() {
+  std::unique_lock<std::mutex> Guard(Lock);
+  Ending = true;
+  for (int Descriptor : Connections)
+    shutdown(Descriptor, SHUT_RD);
+  AllDone.wait_for(Guard, StopLimit,
+                   [this] { return Connections.empty() && NotBegun <= 0; });
+}
+
+void MhdHttpServer::onConnection(void *Cls, MHD_Connection *Connection, void **,
+                                 MHD_ConnectionNotificationCode Code) {
+  auto *Self = static_cast<MhdHttpServer *>(Cls);
+  const MHD_ConnectionInfo *Info =
+      MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (Info == nullptr)
+    return;
+  // The library closes the descriptor only after this has returned, so that no
+  // other connection can have its number while it is in the set.
+  std::lock_guard<std::mutex> Guard(Self->Lock);
+  if (Code == MHD_CONNECTION_NOTIFY_STARTED) {
+    --Self->NotBegun;
+    Self->Connections.insert(Info->connect_fd);
+    if (Self->Ending)
+      shutdown(Info->connect_fd, SHUT_RD);
+    return;
+  }
+  Self->Connections.erase(Info->connect_fd);
+  if (Self->Connections.empty())
+    Self->AllDone.notify_all();
+}
+
 void MhdHttpServer::answerAll(const HttpResponse &Response) {
   std::vector<ExchangePtr> Waiting;
   {
--- a/tests/transport/HttpServerFuzzTest.cpp
+++ b/tests/transport/HttpServerFuzzTest.cpp
@@ -76,6 +76,20 @@
   RC_ASSERT(absl::EndsWith(Peer.readResponse(), "\r\n\r\nwhole body"));
 }
 
+// The library crashed when it found a request malformed while it was being
+// stopped.
+TEST(HttpServerFuzzTest, StopsWhileDamagedRequestsArrive) {
+  for (int Round = 0; Round < 200; ++Round) {
+    auto Server = makeServer();
+    std::vector<RawConnection> Peers;
+    for (int I = 0; I < 20; ++I)
+      Peers.push_back(RawConnection::dial(Server->port()));
+    for (RawConnection &Peer : Peers)
+      Peer.send("GET\x01/ HTTP/1.1\r\nHost x\r\n\r\n");
+    Server.reset();
+  }
+}
+
 TEST(HttpServerFuzzTest, BoundsHeadersAndTargets) {
   auto Server = makeServer();
   for (absl::string_view Start : {"GET /", "GET / HTTP/1.1\r\nX: "}) {
