Send hedges to servers that would begin them at once; compare policies in the model

Refused callers return at the servers' full pace; where no place is left within the time for which they wait they are told when room appears at all.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -20,10 +20,6 @@
 static constexpr int ConfirmingAnswers = 3;
 /// A load report counts for nothing once it is this old.
 static constexpr Duration ReportLife = absl::Milliseconds(300);
-/// Part of a request's objective that a server of the own zone may take longer
-/// than one of another: bytes between zones cost, and an instance that keeps to
-/// few servers meets their pauses sooner.
-static constexpr double OwnZoneShare = 0.35;
 /// Extra time when a connection has to be set up first.
 static constexpr Duration ConnectPenalty = absl::Milliseconds(4);
 /// Slowness assumed of a server in its warm-up.
@@ -48,14 +44,12 @@
 static constexpr int FailuresToRest = 2;
 /// Rest after a refusal, in multiples of the expected time.
 static constexpr double ShedRest = 1.0;
-/// Part of the servers' capacity that callers are told to return to; the rest
-/// is left for those who come for the first time.
-static constexpr double ReturnersShare = 0.5;
 /// Requests that may wait for one service.
 static constexpr std::size_t QueueLimit = 64;
 
-BackendPool::BackendPool(std::string GivenZone, std::uint64_t Seed)
-    : Zone(std::move(GivenZone)), Engine(Seed) {}
+BackendPool::BackendPool(std::string GivenZone, std::uint64_t Seed,
+                         PoolPolicy GivenPolicy)
+    : Zone(std::move(GivenZone)), Policy(GivenPolicy), Engine(Seed) {}
 
 void BackendPool::upsert(const DiscoveredServer &Info, TimePoint Now) {
   ServerRef &S = Servers[Info.Id];
@@ -132,16 +126,18 @@
   return Queues ? 1 : ConnectionShare;
 }
 
-Duration BackendPool::completion(const PoolServer &S, const RouteStats &Stats,
-                                 TimePoint Now) const {
-  const Duration Work = Stats.expected() * slowness(S, Now);
+double BackendPool::loadAhead(const PoolServer &S, TimePoint Now) {
   const double Fresh = 1.0 - absl::FDivDuration(Now - S.ReportedAt, ReportLife);
   double Others = 0;
   if (Fresh > 0)
     Others =
         Fresh * std::max(0, S.Reported.Busy + S.Reported.Queued - S.inFlight());
-  const double Ahead = (S.inFlight() + Others) / std::max(1, S.Info.Slots);
-  return Work * (1.0 + Ahead);
+  return (S.inFlight() + Others) / std::max(1, S.Info.Slots);
+}
+
+Duration BackendPool::completion(const PoolServer &S, const RouteStats &Stats,
+                                 TimePoint Now) const {
+  return Stats.expected() * slowness(S, Now) * (1.0 + loadAhead(S, Now));
 }
 
 static double lossRate(const PoolServer &S, TimePoint Now) {
@@ -163,7 +159,7 @@
       Request.Kind == RequestKind::AtMostOnce ? FinalLossCost : LossCost;
   Expected *= 1.0 + Cost * lossRate(S, Now);
   if (S.Info.Zone != Zone)
-    Expected += Request.Objective * OwnZoneShare;
+    Expected += Request.Objective * Policy.OwnZoneShare;
   if (S.IdleConnections <= 0)
     Expected += ConnectPenalty;
   return absl::ToDoubleMicroseconds(Expected);
@@ -199,7 +195,9 @@
     if (!eligible(*S, Request))
       continue;
     const Tier T = tierOf(standing(*S, Now));
-    if (T != Tier::Sound && !Request.LastResort)
+    if (!Request.LastResort &&
+        (T != Tier::Sound ||
+         (Policy.HedgesNeedFreeSlot && loadAhead(*S, Now) >= 1)))
       continue;
     AnyEligible = true;
     if (S->inFlight() >= limit(*S, Now))
@@ -224,6 +222,22 @@
   S.Pending.push_back(PendingAttempt{Now, Now + Patience});
 }
 
+/// True if \p New, which came later, goes before \p Waiting.
+static bool goesBefore(const PlaceRequest &New, const PlaceRequest &Waiting,
+                       QueueOrder Order) {
+  if (New.Rank != Waiting.Rank)
+    return New.Rank < Waiting.Rank;
+  switch (Order) {
+  case QueueOrder::OldestFirst:
+    return false;
+  case QueueOrder::NewestFirst:
+    return true;
+  case QueueOrder::LeastSlackFirst:
+    return New.UsefulUntil < Waiting.UsefulUntil;
+  }
+  return false;
+}
+
 Place BackendPool::acquire(const PlaceRequest &Request, bool MayWait,
                            PlaceWaiter Notify, TimePoint Now) {
   Place P;
@@ -239,7 +253,7 @@
   P.Outcome = PlaceOutcome::Queued;
   P.WaitId = NextWaitId++;
   auto Behind = std::find_if(Queue.begin(), Queue.end(), [&](const Waiter &W) {
-    return W.Request.Rank > Request.Rank;
+    return goesBefore(Request, W.Request, Policy.Order);
   });
   Queue.insert(Behind, Waiter{P.WaitId, Request, std::move(Notify)});
   return P;
@@ -381,13 +395,15 @@
 Duration BackendPool::reserveReturn(const RouteStats &Stats, Duration Wait,
                                     int Instances, Duration Longest,
                                     TimePoint Now) {
+  if (!Policy.SpreadReturns)
+    return Wait;
   double PlacesPerSecond = 0;
   for (const auto &[Id, S] : Servers)
     if (S->Present && !S->Unreachable)
       PlacesPerSecond +=
           std::max(1, S->Info.Slots) /
           absl::ToDoubleSeconds(Stats.expected() * slowness(*S, Now));
-  PlacesPerSecond *= ReturnersShare / std::max(1, Instances);
+  PlacesPerSecond /= std::max(1, Instances);
   const Duration Pace = PlacesPerSecond > 0 ? absl::Seconds(1 / PlacesPerSecond)
                                             : Stats.expected();
   return Returns.reserve(Wait, Pace, Longest, Now);
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_CORE_RELAY_BACKENDPOOL_H
 #define QUETZALLEAD_CORE_RELAY_BACKENDPOOL_H
 
+#include "core/relay/PoolPolicy.h"
 #include "core/relay/PoolServer.h"
 #include "core/relay/RequestKind.h"
 #include "core/relay/ReturnSchedule.h"
@@ -33,7 +34,7 @@
   TimePoint UsefulUntil = absl::InfiniteFuture();
   /// Servers that must not be chosen.
   std::vector<ServerRef> Excluded;
-  /// If false, a server that is resting or overdue is not chosen.
+  /// If false, only a sound server that would begin at once is chosen.
   bool LastResort = true;
 };
 
@@ -64,7 +65,7 @@
 /// Not thread-safe.
 class BackendPool {
 public:
-  BackendPool(std::string Zone, std::uint64_t Seed);
+  BackendPool(std::string Zone, std::uint64_t Seed, PoolPolicy Policy = {});
 
   /// The feed's word of a server; a new lifetime under a known id begins
   /// without what was learned of the former.
@@ -114,6 +115,8 @@
     PlaceWaiter Notify;
   };
   bool eligible(const PoolServer &S, const PlaceRequest &Request) const;
+  /// Requests ahead of the next one, by slots, as far as they are known.
+  static double loadAhead(const PoolServer &S, TimePoint Now);
   double score(const PoolServer &S, const PlaceRequest &Request,
                TimePoint Now) const;
   /// Null with \p AnyEligible telling whether waiting may help.
@@ -128,9 +131,10 @@
              TimePoint Now);
 
   const std::string Zone;
+  const PoolPolicy Policy;
   int ConnectionShare = 1;
   std::map<std::string, ServerRef> Servers;
-  /// By rank, then in the order of arrival.
+  /// By rank, then in the order of the policy.
   std::deque<Waiter> Queue;
   std::uint64_t NextWaitId = 1;
   ReturnSchedule Returns;
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -10,8 +10,8 @@
 RelayState::Service &RelayState::service(const std::string &Name) {
   Service &S = Services[Name];
   if (S.Pool == nullptr) {
-    S.Pool = std::make_shared<BackendPool>(Options.Zone,
-                                           Options.Seed + Services.size());
+    S.Pool = std::make_shared<BackendPool>(
+        Options.Zone, Options.Seed + Services.size(), Options.Pool);
     S.Budget = std::make_shared<ExtraLoadBudget>(Options.ExtraLoad);
   }
   return S;
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -25,6 +25,7 @@
   Duration AnswerMargin = absl::Milliseconds(8);
   /// The same before the end of the caller's patience.
   Duration DeadlineMargin = absl::Milliseconds(10);
+  PoolPolicy Pool;
   std::uint64_t Seed = 1;
 };
 
--- a/src/core/relay/ReturnSchedule.cpp
+++ b/src/core/relay/ReturnSchedule.cpp
@@ -8,8 +8,9 @@
   const TimePoint Room = Now + Wait;
   const TimePoint Place =
       Last == absl::InfinitePast() ? Room : std::max(Room, Last + Pace);
-  if (Place - Now <= Longest)
-    Last = Place;
+  if (Place - Now > Longest)
+    return Wait;
+  Last = Place;
   return Place - Now;
 }
 
--- a/src/core/relay/ReturnSchedule.h
+++ b/src/core/relay/ReturnSchedule.h
@@ -15,8 +15,9 @@
 public:
   /// Time after which a request that is refused now should return, if there
   /// is no room before \p Wait is over and a place comes free each \p Pace.
-  /// The place is kept for it unless it is further away than \p Longest, the
-  /// time for which callers heed such a word.
+  /// A place further away than \p Longest, the time for which callers heed such
+  /// a word, is not given: then \p Wait is all that can be said, and those who
+  /// return compete with newcomers.
   Duration reserve(Duration Wait, Duration Pace, Duration Longest,
                    TimePoint Now);
 
--- a/tests/model/OverloadTest.cpp
+++ b/tests/model/OverloadTest.cpp
@@ -1,3 +1,4 @@
+#include "model/Experiment.h"
 #include "model/ModelWorld.h"
 #include <gtest/gtest.h>
 
@@ -102,3 +103,22 @@
   }
   EXPECT_GE(Served, 0.98 * Asked) << Served << " of " << Asked;
 }
+
+// More than the capacity arrives, and callers that are refused do not wait:
+// hedges into busy servers would take from all what they give to one.
+TEST(OverloadTest, HedgesDoNotFeedARetryStorm) {
+  double InTime[2] = {0, 0};
+  double Extra[2] = {0, 0};
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    for (int NeedsSlot = 0; NeedsSlot < 2; ++NeedsSlot) {
+      ModelSetup Setup = makeSetup(ExperimentSize(), Seed);
+      findPattern("retry-storm")->Apply(Setup);
+      Setup.Options.Pool.HedgesNeedFreeSlot = NeedsSlot == 1;
+      const ModelReport R = playModel(Setup);
+      InTime[NeedsSlot] += R.All.inTimeShare() / Seeds;
+      Extra[NeedsSlot] += R.extraLoad() / Seeds;
+    }
+  EXPECT_GT(InTime[1], InTime[0]);
+  EXPECT_LT(Extra[1], Extra[0]);
+  EXPECT_TRUE(RelayStateOptions().Pool.HedgesNeedFreeSlot);
+}
--- a/tests/promise/LeavingTest.cpp
+++ b/tests/promise/LeavingTest.cpp
@@ -21,6 +21,9 @@
 /// Time for which that is then watched, milliseconds.
 constexpr double WatchMs = 1500;
 
+/// Between the calls of one caller, milliseconds: as long as a server takes.
+constexpr double AskPauseMs = 2;
+
 /// Attempts in a row that a server ends without an answer before an instance
 /// takes it for gone.
 constexpr int LossesBelieved = 3;
@@ -53,6 +56,7 @@
     });
     runThreads(static_cast<int>(Daemons.size()), [&](int Caller) {
       while (!Stop) {
+        waitMs(AskPauseMs);
         ++Asked;
         const auto Answer =
             Fleet.ask(Daemons[Caller], "lookup", {{"key", "a1"}});
