--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -196,8 +196,7 @@
       continue;
     const Tier T = tierOf(standing(*S, Now));
     if (!Request.LastResort &&
-        (T != Tier::Sound ||
-         (Policy.HedgesNeedFreeSlot && loadAhead(*S, Now) >= 1)))
+        (T != Tier::Sound || loadAhead(*S, Now) >= Policy.MostAheadOfHedge))
       continue;
     AnyEligible = true;
     if (S->inFlight() >= limit(*S, Now))
--- a/src/core/relay/PoolPolicy.h
+++ b/src/core/relay/PoolPolicy.h
@@ -26,9 +26,10 @@
   /// keeps to few servers meets their pauses sooner.
   double OwnZoneShare = 0.35;
   QueueOrder Order = QueueOrder::OldestFirst;
-  /// A hedge goes to a server that would begin it at once, or not at all: more
-  /// work for one that has enough takes from others what it gives.
-  bool HedgesNeedFreeSlot = true;
+  /// A hedge is not sent to a server with this much ahead of it, in multiples
+  /// of its slots: more work for one that has enough takes from others what it
+  /// gives.
+  double MostAheadOfHedge = 2;
   /// Requests that are turned away are told to return one after the other.
   bool SpreadReturns = true;
 };
--- a/tools/model/Experiment.cpp
+++ b/tools/model/Experiment.cpp
@@ -83,7 +83,9 @@
          S.Options.ExtraLoad.Base /= 2;
        }},
       {"hedge-anywhere", "hedges go to busy servers too",
-       [](ModelSetup &S) { S.Options.Pool.HedgesNeedFreeSlot = false; }},
+       [](ModelSetup &S) { S.Options.Pool.MostAheadOfHedge = 1e9; }},
+      {"hedge-free-slot", "hedges go to servers that begin them at once",
+       [](ModelSetup &S) { S.Options.Pool.MostAheadOfHedge = 1; }},
       {"any-zone", "servers of all zones alike",
        [](ModelSetup &S) { S.Options.Pool.OwnZoneShare = 0; }},
       {"same-return", "refused callers are all told the same time",
