--- a/src/cli/LogStory.cpp
+++ b/src/cli/LogStory.cpp
@@ -45,6 +45,7 @@
     {"server_entry_unreadable", "an entry of the feed names no server", false},
     {"request_rejected", "the request was turned away before a route", false},
     {"request_failed", "the request got no usable answer", false},
+    {"caller_left", "the caller left before its answer", false},
     {"request_late", "the request was answered after its objective", false},
     {"request_served", "the request was answered in time", false},
     {"parts_missing", "the answer left parts out", false},
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -34,7 +34,7 @@
   TimePoint UsefulUntil = absl::InfiniteFuture();
   /// Servers that must not be chosen.
   std::vector<ServerRef> Excluded;
-  /// If false, only a sound server that would begin at once is chosen.
+  /// If false, only a sound server with little ahead is chosen; for hedges.
   bool LastResort = true;
 };
 
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -2,6 +2,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/strip.h"
 #include "relay/SocketOptions.h"
+#include "runtime/Endpoint.h"
 #include <boost/asio/write.hpp>
 
 namespace quetzallead {
@@ -57,11 +58,7 @@
   Current = std::move(Request);
   Done = std::move(OnDone);
   AnySent = false;
-  Answer.emplace();
-  Answer->eager(true);
-  Answer->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
-  Answer->body_limit(Limits.BodyBytes);
-  Answer->skip(Current.HeadRequest);
+  expectAnswer();
   Unparsed.clear();
   if (Stage == ConnectionStage::New)
     connect();
@@ -73,6 +70,14 @@
     });
 }
 
+void HttpConnection::expectAnswer() {
+  Answer.emplace();
+  Answer->eager(true);
+  Answer->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
+  Answer->body_limit(Limits.BodyBytes);
+  Answer->skip(Current.HeadRequest);
+}
+
 void HttpConnection::write() {
   auto Self = shared_from_this();
   Timer = Timers.at(Current.Deadline, [this](TimePoint) {
@@ -174,11 +179,7 @@
   if (http::to_status_class(Answer->get().result()) ==
       http::status_class::informational) {
     // The final answer follows.
-    Answer.emplace();
-    Answer->eager(true);
-    Answer->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
-    Answer->body_limit(Limits.BodyBytes);
-    Answer->skip(Current.HeadRequest);
+    expectAnswer();
     if (!Unparsed.empty()) {
       std::string Again = std::move(Unparsed);
       Unparsed.clear();
--- a/src/relay/HttpConnection.h
+++ b/src/relay/HttpConnection.h
@@ -64,6 +64,8 @@
 
   void onConnected(const boost::system::error_code &Fault);
   void write();
+  /// Makes the parser of the next answer.
+  void expectAnswer();
   void read();
   void onBytes(std::size_t Count);
   void onReadEnd(bool Clean);
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -1,6 +1,6 @@
 #include "relay/RelayDaemon.h"
 #include "absl/hash/hash.h"
-#include "relay/SocketOptions.h"
+#include "runtime/Endpoint.h"
 #include "runtime/Logger.h"
 #include <algorithm>
 #include <csignal>
@@ -430,7 +430,8 @@
   const Route &Taken = *Request.plan().Taken;
   const auto Millis = absl::ToInt64Milliseconds(Now - Call.Arrived);
   if (!isServed(Verdict)) {
-    logEvent(LogLevel::Info, "request_failed",
+    const bool Left = Verdict.Outcome == RelayOutcome::CallerLeft;
+    logEvent(LogLevel::Info, Left ? "caller_left" : "request_failed",
              {{"request", Call.RequestId},
               {"route", Taken.Name},
               {"kind", nameOf(RequestKindNames, Taken.Kind)},
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -1,11 +1,10 @@
 #ifndef QUETZALLEAD_RELAY_RELAYMETRICS_H
 #define QUETZALLEAD_RELAY_RELAYMETRICS_H
 
-#include "core/relay/HedgeObstacle.h"
-#include "core/relay/RelayVerdict.h"
 #include "quetzallead/AttemptCause.h"
 #include "quetzallead/AttemptResult.h"
 #include "relay/RejectReason.h"
+#include "relay/RelayRequestSample.h"
 #include "relay/RelaySnapshot.h"
 #include <cstddef>
 #include <memory>
@@ -13,20 +12,6 @@
 
 namespace quetzallead {
 
-/// One request of a caller that has ended.
-struct RelayRequestSample {
-  std::string Route;
-  RelayOutcome Outcome = RelayOutcome::Failed;
-  Duration Elapsed = absl::ZeroDuration();
-  /// The route's objective.
-  Duration Objective = absl::ZeroDuration();
-  std::size_t WantedParts = 0;
-  std::size_t MissingParts = 0;
-  /// Parts whose last hedge was held back, by the reason.
-  std::size_t HedgesWithoutBudget = 0;
-  std::size_t HedgesWithoutServer = 0;
-};
-
 /// Counters and histograms of one relay, on prometheus-cpp; times in seconds.
 /// Labels are bounded: routes and services beyond the first ones count as
 /// "other". Not thread-safe.
--- a/src/relay/RelaySession.h
+++ b/src/relay/RelaySession.h
@@ -5,22 +5,13 @@
 #include "core/relay/RouteTable.h"
 #include "relay/BackendClient.h"
 #include "relay/RelayMessages.h"
+#include "relay/RelayParts.h"
 #include <functional>
 #include <memory>
 #include <vector>
 
 namespace quetzallead {
 
-class RelayMetrics;
-
-/// What all sessions of a relay use.
-struct RelayParts {
-  BackendClient &Backends;
-  LoopTimers &Timers;
-  RelayMetrics &Metrics;
-  const HeaderNames &Names;
-};
-
 /// Carries out one RelayRequest: sends its attempts, feeds what comes of them
 /// back and passes on the verdict. Keeps itself alive until its last attempt
 /// has ended, which may be after the answer.
--- a/src/relay/SocketOptions.cpp
+++ b/src/relay/SocketOptions.cpp
@@ -1,8 +1,6 @@
 #include "relay/SocketOptions.h"
-#include "absl/strings/numbers.h"
 #include "runtime/Logger.h"
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <netinet/tcp.h>
 
 namespace quetzallead {
@@ -35,17 +33,4 @@
            {{"effect", "silent connections may be noticed late"}});
 }
 
-Result<asio::ip::tcp::endpoint> parseEndpoint(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  boost::system::error_code Fault;
-  std::uint32_t Port = 0;
-  if (Colon == std::string::npos ||
-      !absl::SimpleAtoi(Text.substr(Colon + 1), &Port) || Port > 65535)
-    return fail(ErrorCode::InvalidArgument, "must be \"ip:port\"", Text);
-  const auto Ip = asio::ip::make_address(Text.substr(0, Colon), Fault);
-  if (Fault)
-    return fail(ErrorCode::InvalidArgument, "must be \"ip:port\"", Text);
-  return asio::ip::tcp::endpoint(Ip, static_cast<std::uint16_t>(Port));
-}
-
 } // namespace quetzallead
--- a/src/relay/SocketOptions.h
+++ b/src/relay/SocketOptions.h
@@ -1,10 +1,8 @@
 #ifndef QUETZALLEAD_RELAY_SOCKETOPTIONS_H
 #define QUETZALLEAD_RELAY_SOCKETOPTIONS_H
 
-#include "quetzallead/Error.h"
 #include "quetzallead/Time.h"
 #include <boost/asio/ip/tcp.hpp>
-#include <string>
 
 namespace quetzallead {
 
@@ -15,9 +13,6 @@
 void setSocketOptions(boost::asio::ip::tcp::socket &Socket,
                       Duration Unconfirmed, Duration Probe);
 
-/// Parses "ip:port". Fails with InvalidArgument.
-Result<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &Text);
-
 } // namespace quetzallead
 
 #endif // QUETZALLEAD_RELAY_SOCKETOPTIONS_H
--- a/src/transport/peer/PeerTransport.cpp
+++ b/src/transport/peer/PeerTransport.cpp
@@ -7,9 +7,8 @@
 #include "transport/peer/PeerTransport.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/strip.h"
+#include "runtime/Endpoint.h"
 #include "runtime/TimerService.h"
 #include "transport/peer/PeerCodec.h"
 #include "transport/peer/PeerHandshake.h"
@@ -727,27 +726,6 @@
   bool Stopped = false;
 };
 
-Result<asio::ip::tcp::endpoint> parseEndpoint(const std::string &Text) {
-  absl::string_view View = Text;
-  std::size_t Colon = View.rfind(':');
-  int Port = -1;
-  constexpr int MaxPort = 65535;
-  if (Colon != absl::string_view::npos &&
-      absl::SimpleAtoi(View.substr(Colon + 1), &Port) && Port >= 0 &&
-      Port <= MaxPort) {
-    absl::string_view Host = View.substr(0, Colon);
-    absl::ConsumePrefix(&Host, "[");
-    absl::ConsumeSuffix(&Host, "]");
-    boost::system::error_code Code;
-    auto Address = asio::ip::make_address(std::string(Host), Code);
-    if (!Code)
-      return asio::ip::tcp::endpoint(Address,
-                                     static_cast<unsigned short>(Port));
-  }
-  return fail(ErrorCode::InvalidArgument,
-              "an address must be ip:port or [ipv6]:port", Text);
-}
-
 } // namespace
 
 Result<std::unique_ptr<PeerTransport>>
--- a/tests/model/ExperimentTest.cpp
+++ b/tests/model/ExperimentTest.cpp
@@ -32,7 +32,7 @@
 
 TEST(ExperimentTest, EveryRequestEndsOnce) {
   for (const LoadPattern &Pattern : loadPatterns())
-    for (const Policy &Chosen : policies()) {
+    for (const DecisionPolicy &Chosen : policies()) {
       ModelSetup Setup = makeSetup(smallSize(), 3);
       Pattern.Apply(Setup);
       Chosen.Apply(Setup);
@@ -50,7 +50,7 @@
     Pattern.Apply(Setup);
     const ModelReport R = playModel(Setup);
     const ExtraLoadLimits &Limits = Setup.Options.ExtraLoad;
-    const double Windows = Setup.Length / Limits.Window + 1;
+    const double Windows = absl::FDivDuration(Setup.Length, Limits.Window) + 1;
     const double Shards = static_cast<double>(Setup.Replicas.size());
     EXPECT_LE(R.ExtraAttempts,
               Limits.Share * R.FirstAttempts + Limits.Base * Windows * Shards)
@@ -64,7 +64,7 @@
     EXPECT_TRUE(Names.insert(Pattern.Name).second);
     EXPECT_EQ(findPattern(Pattern.Name), &Pattern);
   }
-  for (const Policy &Chosen : policies()) {
+  for (const DecisionPolicy &Chosen : policies()) {
     EXPECT_TRUE(Names.insert(Chosen.Name).second);
     EXPECT_EQ(findPolicy(Chosen.Name), &Chosen);
   }
--- a/tests/transport/HttpServerFuzzTest.cpp
+++ b/tests/transport/HttpServerFuzzTest.cpp
@@ -82,6 +82,7 @@
   for (int Round = 0; Round < 200; ++Round) {
     auto Server = makeServer();
     std::vector<RawConnection> Peers;
+    Peers.reserve(20);
     for (int I = 0; I < 20; ++I)
       Peers.push_back(RawConnection::dial(Server->port()));
     for (RawConnection &Peer : Peers)
--- a/tools/model/Experiment.cpp
+++ b/tools/model/Experiment.cpp
@@ -74,8 +74,8 @@
   return All;
 }
 
-const std::vector<Policy> &policies() {
-  static const std::vector<Policy> All = {
+const std::vector<DecisionPolicy> &policies() {
+  static const std::vector<DecisionPolicy> All = {
       {"default", "as the relay is built", [](ModelSetup &) {}},
       {"no-extra-load", "neither hedges nor paid retries",
        [](ModelSetup &S) {
@@ -121,7 +121,7 @@
   return findByName(loadPatterns(), Name);
 }
 
-const Policy *findPolicy(const std::string &Name) {
+const DecisionPolicy *findPolicy(const std::string &Name) {
   return findByName(policies(), Name);
 }
 
@@ -173,7 +173,8 @@
   return Worst;
 }
 
-ExperimentRow runExperiment(const LoadPattern &Pattern, const Policy &Chosen,
+ExperimentRow runExperiment(const LoadPattern &Pattern,
+                            const DecisionPolicy &Chosen,
                             const ExperimentSize &Size, int Seeds) {
   std::vector<double> InTime, Served, Window, Kind, Zone, Coverage, Extra,
       Refusals, Millis;
@@ -213,7 +214,7 @@
 
 std::string formatRows(const std::vector<ExperimentRow> &Rows) {
   std::string Out = absl::StrFormat(
-      "%-12s %-18s %-19s %-8s %-8s %-8s %-8s %-8s %-8s %s\n", "pattern",
+      "%-12s %-18s %-19s %-8s %-8s %-8s %-8s %-8s %-8s %-8s %s\n", "pattern",
       "policy", "in time", "served", "window", "kind", "zone", "coverage",
       "extra", "refused", "ms to refusal");
   for (const ExperimentRow &R : Rows)
--- a/tools/model/ModelMain.cpp
+++ b/tools/model/ModelMain.cpp
@@ -21,7 +21,7 @@
 
 struct Arguments {
   std::vector<const LoadPattern *> Patterns;
-  std::vector<const Policy *> Policies;
+  std::vector<const DecisionPolicy *> Policies;
   ExperimentSize Size;
   int Seeds = 5;
 };
@@ -31,7 +31,7 @@
   for (const LoadPattern &P : loadPatterns())
     std::cout << "  " << P.Name << ": " << P.Summary << "\n";
   std::cout << "Policies:\n";
-  for (const Policy &P : policies())
+  for (const DecisionPolicy &P : policies())
     std::cout << "  " << P.Name << ": " << P.Summary << "\n";
 }
 
@@ -115,7 +115,7 @@
   const auto Begun = std::chrono::steady_clock::now();
   std::vector<ExperimentRow> Rows;
   for (const LoadPattern *Pattern : Given.Patterns)
-    for (const Policy *Chosen : Given.Policies)
+    for (const DecisionPolicy *Chosen : Given.Policies)
       Rows.push_back(runExperiment(*Pattern, *Chosen, Given.Size, Given.Seeds));
   std::cout << formatRows(Rows);
   const std::chrono::duration<double> Took =
