Set the unread log up before the relay whose log it is

RelayDaemonTest.DelaysNobodyWhenTheLogIsNotRead was red under the thread sanitizer: it began the bounded log while the relay, already running, logged; that is to be done once, before the first event, as the daemon does. The pipe is now there before the relay and goes after it; the bounds of the check are as before.

--- a/src/core/relay/HedgeObstacle.h
+++ b/src/core/relay/HedgeObstacle.h
@@ -9,7 +9,7 @@
 enum class HedgeObstacle {
   None,     ///< It was sent, or none was due.
   Budget,   ///< The budget of extra load left too little.
-  NoServer, ///< No other server was free of overdue attempts and in reach.
+  NoServer, ///< No other server was in reach, sound and with little ahead.
 };
 
 inline constexpr NamedValue<HedgeObstacle> HedgeObstacleNames[] = {
--- a/tests/relay/RelayDaemonTest.cpp
+++ b/tests/relay/RelayDaemonTest.cpp
@@ -230,6 +230,46 @@
   std::thread Running;
 };
 
+/// Sends the log into a pipe that nobody reads; to be set up before the relay
+/// and taken down after it.
+class UnreadLog {
+protected:
+  UnreadLog() {
+    EXPECT_EQ(pipe(Pipe), 0);
+    std::fflush(stdout);
+    Output = dup(STDOUT_FILENO);
+    EXPECT_GE(dup2(Pipe[1], STDOUT_FILENO), 0);
+    initBoundedLogging(LogLevel::Info, "i", 1e5);
+  }
+  ~UnreadLog() {
+    restoreOutput();
+    close(Pipe[0]);
+    close(Pipe[1]);
+    initLogging(LogLevel::Error, "", "test");
+  }
+  UnreadLog(const UnreadLog &) = delete;
+  UnreadLog &operator=(const UnreadLog &) = delete;
+
+  /// Gives standard output back; returns the bytes that wait in the pipe.
+  int restoreOutput() {
+    if (Output >= 0) {
+      std::fflush(stdout);
+      dup2(Output, STDOUT_FILENO);
+      close(Output);
+    }
+    Output = -1;
+    int Unread = 0;
+    EXPECT_EQ(ioctl(Pipe[0], FIONREAD, &Unread), 0);
+    return Unread;
+  }
+
+private:
+  int Pipe[2] = {-1, -1};
+  int Output = -1;
+};
+
+class RelayDaemonUnreadLogTest : protected UnreadLog, public RelayDaemonTest {};
+
 } // namespace
 
 TEST_F(RelayDaemonTest, AnswersOneRequestAfterTheOther) {
@@ -338,13 +378,7 @@
 }
 
 // A reader of the log that stops reading must not hold up callers.
-TEST_F(RelayDaemonTest, DelaysNobodyWhenTheLogIsNotRead) {
-  int Pipe[2] = {-1, -1};
-  ASSERT_EQ(pipe(Pipe), 0);
-  const int Output = dup(STDOUT_FILENO);
-  std::fflush(stdout);
-  ASSERT_GE(dup2(Pipe[1], STDOUT_FILENO), 0);
-  initBoundedLogging(LogLevel::Info, "i", 1e5);
+TEST_F(RelayDaemonUnreadLogTest, DelaysNobody) {
   // More than the pipe takes.
   const std::string Long(1500, 'x');
   absl::Duration Longest = absl::ZeroDuration();
@@ -356,14 +390,7 @@
     Answered += receive(Caller, 0).substr(9, 3) == "404" ? 1 : 0;
     Longest = std::max(Longest, absl::Now() - Sent);
   }
-  std::fflush(stdout);
-  dup2(Output, STDOUT_FILENO);
-  close(Output);
-  int Unread = 0;
-  EXPECT_EQ(ioctl(Pipe[0], FIONREAD, &Unread), 0);
-  close(Pipe[0]);
-  close(Pipe[1]);
-  initLogging(LogLevel::Error, "", "test");
+  const int Unread = restoreOutput();
   EXPECT_EQ(Answered, 500);
   EXPECT_GE(Unread, 32 << 10) << "the pipe should have been filled";
   EXPECT_LT(Longest, absl::Milliseconds(500));
