--- /dev/null
+++ b/src/Precompiled.cpp
@@ -0,0 +1,1 @@
+// Holds the precompiled headers; see CMakeLists.txt.
