--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -277,7 +277,7 @@
     Queue.erase(Found);
 }
 
-static void eject(PoolServer &S, TimePoint Now) {
+static void ejectAfterFailure(PoolServer &S, TimePoint Now) {
   const int Doublings = std::clamp(S.Failures - 1, 0, 8);
   S.EjectedUntil =
       Now + std::min(MaxEjectionTime,
@@ -324,13 +324,13 @@
     return;
   case AttemptResult::NotSent:
     ++S.Failures;
-    eject(S, Now);
+    ejectAfterFailure(S, Now);
     return;
   case AttemptResult::Lost:
   case AttemptResult::BadReply:
     recordLossSample(S, true, Now);
     if (++S.Failures >= FailuresToEject)
-      eject(S, Now);
+      ejectAfterFailure(S, Now);
     return;
   case AttemptResult::TimedOut:
   case AttemptResult::Cancelled:
@@ -340,7 +340,7 @@
       recordSlownessSample(S, Previous, Ratio, Now);
     if (Report.Result == AttemptResult::TimedOut) {
       ++S.Failures;
-      eject(S, Now);
+      ejectAfterFailure(S, Now);
     }
     return;
   case AttemptResult::Unused:
@@ -360,6 +360,10 @@
   recordOutcome(*Server, Report, Stats, Now);
 }
 
+void BackendPool::eject(const ServerRef &Server, TimePoint Until) {
+  Server->EjectedUntil = std::max(Server->EjectedUntil, Until);
+}
+
 bool BackendPool::serveOne(bool Late, TimePoint Now) {
   for (auto It = Queue.begin(); It != Queue.end(); ++It) {
     if ((It->Request.ObjectiveDeadline <= Now) != Late)
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -83,6 +83,8 @@
   /// Frees the slot of the attempt sent at \p Sent and records its outcome.
   void release(const ServerRef &Server, TimePoint Sent,
                const AttemptReport &Report, RouteStats &Stats, TimePoint Now);
+  /// Ejects \p Server at least until \p Until.
+  static void eject(const ServerRef &Server, TimePoint Until);
   /// Grants free slots to queued requests. Call after release() and after
   /// applying changes of the server set or of the limits.
   void grantPermits(TimePoint Now);
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -24,6 +24,15 @@
 /// Callers follow a Retry-After of at most this fraction of their remaining
 /// timeout.
 static constexpr double MaxRetryAfterFraction = 1.0 / 3;
+/// Time within which a home acknowledges a request, as a share of the objective
+/// and within bounds. Its processor is occupied by other requests for some
+/// milliseconds at a time.
+static constexpr double HomeSilenceShare = 0.4;
+static constexpr Duration MinHomeSilenceTimeout = absl::Milliseconds(25);
+static constexpr Duration MaxHomeSilenceTimeout = absl::Milliseconds(200);
+/// Time for which a silent home is avoided. An instance with few callers would
+/// otherwise meet a frozen home with each of its requests.
+static constexpr Duration SilentHomeEjectionTime = absl::Seconds(2);
 /// Retry-After of requests that no server can take. A starting server registers
 /// within about this time.
 static constexpr Duration UnservableRetryAfter = absl::Milliseconds(500);
@@ -45,9 +54,50 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(Needed)));
 }
 
+Duration RelayRequest::hedgeDelay() const {
+  if (!isForwarded())
+    return Plan.Stats->hedgeDelay();
+  return std::clamp(Plan.MatchedRoute->Objective * HomeSilenceShare,
+                    MinHomeSilenceTimeout, MaxHomeSilenceTimeout);
+}
+
+void RelayRequest::onAcknowledged(std::size_t Id) {
+  Attempt &A = Attempts[Id];
+  Part &P = Parts[A.Part];
+  A.Acknowledged = true;
+  // The home now hedges at the backend servers itself. Another home would not
+  // know which servers it has used.
+  P.HedgeAt = absl::InfiniteFuture();
+  updateNextTimer();
+}
+
+void RelayRequest::abandonSilentHomes(std::size_t Index, TimePoint Now,
+                                      RelayActions &Out) {
+  for (std::size_t I = 0; I < Attempts.size(); ++I) {
+    const Attempt &A = Attempts[I];
+    if (A.Part != Index || !A.InFlight || A.Acknowledged ||
+        A.Sent + hedgeDelay() > Now)
+      continue;
+    Plan.Targets[Index].Pool->eject(A.Server, Now + SilentHomeEjectionTime);
+    Out.push_back(CancelRelayAttempt{I});
+  }
+}
+
+bool RelayRequest::passedBack() const {
+  return std::any_of(Attempts.begin(), Attempts.end(),
+                     [](const Attempt &A) { return A.NotExecuted; });
+}
+
+bool RelayRequest::mayRepeat(std::size_t Id) const {
+  return std::any_of(Attempts.begin(),
+                     Attempts.begin() + static_cast<std::ptrdiff_t>(Id),
+                     [](const Attempt &A) { return !A.NotExecuted; });
+}
+
 void RelayRequest::start(TimePoint Now, RelayActions &Out) {
   for (RelayTarget &T : Plan.Targets)
-    T.Budget->earn(Now);
+    if (!Plan.Repeated)
+      T.Budget->earn(Now);
   // The parts of a survey have little value after the objective; a single
   // response is delivered late rather than not at all.
   const TimePoint Cutoff = isSurvey() ? Plan.ObjectiveDeadline : Plan.Deadline;
@@ -56,7 +106,10 @@
   const RelayTarget *Slowest = nullptr;
   std::size_t InTimeCount = 0;
   for (const RelayTarget &T : Plan.Targets) {
-    const Duration Delay = T.Pool->expectedDelay(*Plan.Stats, Now);
+    // Admission is the home's decision; it knows the load of the servers.
+    const Duration Delay = isForwarded() && T.Pool->hasReachableServer()
+                               ? absl::ZeroDuration()
+                               : T.Pool->expectedDelay(*Plan.Stats, Now);
     InTime.push_back(Delay != absl::InfiniteDuration() &&
                      Now + Delay * ExpectedDelayFraction <= Cutoff);
     if (InTime.back())
@@ -81,7 +134,9 @@
     return;
   }
   for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
-    if (InTime[I])
+    const bool Affordable =
+        !Plan.Repeated || Plan.Targets[I].Budget->spend(0, Plan.Instances, Now);
+    if (InTime[I] && Affordable)
       acquirePermit(I, AttemptCause::First, Now, Out);
     else
       failPart(I);
@@ -136,8 +191,8 @@
   P.RetryAt = absl::InfiniteFuture();
   P.HedgeAt = absl::InfiniteFuture();
   P.Obstacle = HedgeWithheldReason::None;
-  if (isIdempotent() && P.Sent < Plan.MatchedRoute->MaxAttempts)
-    P.HedgeAt = Now + Plan.Stats->hedgeDelay();
+  if (isIdempotent() && P.Sent < maxAttempts())
+    P.HedgeAt = Now + hedgeDelay();
   Attempts.push_back(Attempt{Index, Server, Now, Cause});
   Out.push_back(SendRelayAttempt{Attempts.size() - 1, std::move(Server),
                                  Plan.Deadline - Now, Cause});
@@ -175,9 +230,10 @@
   Part &P = Parts[Index];
   if (End.Result != AttemptResult::Answered)
     return false;
+  // The failure that a home responds with is final.
   const bool Acceptable =
       isSurvey() ? isSuccess(*End.Response) && !End.Response->Stamp.empty()
-                 : !isServerError(*End.Response);
+                 : isForwarded() || !isServerError(*End.Response);
   if (!Acceptable && (isSurvey() || isIdempotent())) {
     P.ErrorResponse = End.Response;
     return false;
@@ -204,9 +260,12 @@
   Report.Result = End.Result;
   Report.Elapsed = Now - A.Sent;
   Report.Load = End.Load;
-  if (End.Result == AttemptResult::Answered && isServerError(*End.Response))
+  if (End.Result == AttemptResult::Answered && !isForwarded() &&
+      isServerError(*End.Response))
     Report.Result = AttemptResult::BadReply;
-  if (End.Result == AttemptResult::NotSent)
+  // A home that passed the request back has sent it to no backend server.
+  if (End.Result == AttemptResult::NotSent ||
+      (isForwarded() && provesNotRun(End.Result)))
     --P.Sent;
   Plan.Targets[Index].Pool->release(A.Server, A.Sent, Report, *Plan.Stats, Now);
   const bool NotExecuted = provesNotRun(End.Result);
@@ -225,7 +284,7 @@
 
 void RelayRequest::retryOrFail(std::size_t Index, TimePoint Now) {
   Part &P = Parts[Index];
-  if (P.Sent >= Plan.MatchedRoute->MaxAttempts) {
+  if (P.Sent >= maxAttempts()) {
     failPart(Index);
     return;
   }
@@ -246,7 +305,9 @@
   P.RetryAt = absl::InfiniteFuture();
   acquirePermit(Index, First ? AttemptCause::First : AttemptCause::Retry, Now,
                 Out);
-  if (P.State != PartState::Failed || !T.Pool->hasReachableServer())
+  // A request that every home has passed back is rejected at once.
+  if (P.State != PartState::Failed || isForwarded() ||
+      !T.Pool->hasReachableServer())
     return;
   // Every server has been tried. Start over after a delay: the first one may
   // have capacity by then.
@@ -278,6 +339,10 @@
     return;
   }
   send(Index, std::move(Acquired.Server), AttemptCause::Hedge, Now, Out);
+  // A silent home that reads its request after all finds its connection closed,
+  // so that the backend servers get the request from one home.
+  if (isForwarded())
+    abandonSilentHomes(Index, Now, Out);
 }
 
 void RelayRequest::onTimer(TimePoint Now, RelayActions &Out) {
@@ -411,6 +476,11 @@
   Answered = true;
   for (std::size_t I = 0; I < Parts.size(); ++I)
     leaveQueue(I);
+  // A home is told to stop; a backend server finishes, since closing costs it a
+  // new connection.
+  for (std::size_t I = 0; I < Attempts.size() && isForwarded(); ++I)
+    if (Attempts[I].InFlight && isIdempotent())
+      Out.push_back(CancelRelayAttempt{I});
   Out.push_back(RespondToCaller{std::move(Verdict)});
 }
 
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -26,6 +26,8 @@
 struct RelayPlan {
   /// The matched route. Must outlive the request.
   const Route *MatchedRoute = nullptr;
+  /// Owns MatchedRoute if no sheet does.
+  std::shared_ptr<const Route> OwnedRoute;
   /// One target, or one per shard of a survey.
   std::vector<RelayTarget> Targets;
   std::shared_ptr<RouteStats> Stats;
@@ -39,6 +41,9 @@
   TimePoint Deadline;
   /// When the caller's timeout expires.
   TimePoint CallerDeadline = absl::InfiniteFuture();
+  /// Another home may already have sent the request to backend servers: each
+  /// attempt is an extra one, and each part gets one at most.
+  bool Repeated = false;
 };
 
 /// State machine of one caller request: decides which server receives each
@@ -64,6 +69,9 @@
   void start(TimePoint Now, RelayActions &Out);
   void onAttemptEnd(std::size_t Attempt, const AttemptEnd &End, TimePoint Now,
                     RelayActions &Out);
+  /// Handles the message of a home that it has read the request of attempt
+  /// \p Id. A home that does not send it soon counts as silent.
+  void onAcknowledged(std::size_t Id);
   void onTimer(TimePoint Now, RelayActions &Out);
   /// Handles a disconnect of the caller: leaves the queues and, if the request
   /// is idempotent, cancels the attempts in flight.
@@ -83,6 +91,10 @@
     return Plan.Targets[Attempts[Id].Part].Service;
   }
   AttemptCause causeOf(std::size_t Id) const { return Attempts[Id].Cause; }
+  /// Whether an attempt is known not to have been executed.
+  bool passedBack() const;
+  /// Whether an attempt before \p Id may have been executed or still may be.
+  bool mayRepeat(std::size_t Id) const;
   TimePoint sentAt(std::size_t Id) const { return Attempts[Id].Sent; }
   /// Number of parts whose last due hedge was withheld because of \p Obstacle.
   std::size_t hedgesWithheld(HedgeWithheldReason Obstacle) const;
@@ -115,6 +127,8 @@
     TimePoint Sent;
     AttemptCause Cause = AttemptCause::First;
     bool InFlight = true;
+    /// The home has read the request.
+    bool Acknowledged = false;
     /// The server has not executed it and never will.
     bool NotExecuted = false;
   };
@@ -146,6 +160,18 @@
   bool isIdempotent() const {
     return Plan.MatchedRoute->Kind == RequestKind::Idempotent;
   }
+  /// Maximum number of attempts for each part.
+  int maxAttempts() const {
+    return Plan.Repeated ? 1 : Plan.MatchedRoute->MaxAttempts;
+  }
+  /// Delay after an attempt at which a hedge is due.
+  Duration hedgeDelay() const;
+  /// Cancels the attempts at homes that have not acknowledged them, and ejects
+  /// these homes.
+  void abandonSilentHomes(std::size_t Index, TimePoint Now, RelayActions &Out);
+  bool isForwarded() const {
+    return Plan.MatchedRoute->Target == RouteTarget::Home;
+  }
   bool isSurvey() const {
     return Plan.MatchedRoute->Target == RouteTarget::Survey;
   }
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -1,11 +1,123 @@
 #include "core/relay/RelayState.h"
 #include "quetzallead/ConnectionShare.h"
 #include <algorithm>
+#include <set>
 
 namespace quetzallead {
 
+/// Service name of the homes, in logs.
+static constexpr char HomesService[] = "homes";
+/// Connections to one home. Requests of callers that exceed it wait for a
+/// response to an earlier one.
+static constexpr int HomeConnections = 64;
+/// Requests that a home serves concurrently, as far as forwarding is concerned:
+/// it queues and rejects by what it knows of the backend servers.
+static constexpr int HomeSlots = 64;
+/// Homes that may run one request at most.
+static constexpr int MaxHomeAttempts = 2;
+/// Objective and timeout assumed for a request that matches no known route.
+static constexpr Duration UnknownRouteObjective = absl::Seconds(1);
+static constexpr Duration UnknownRouteTimeout = absl::Seconds(30);
+/// Extra attempts of forwarding, relative to the caller requests of this
+/// instance. Each one may cost an extra attempt per shard, which the home takes
+/// from its own budget.
+static constexpr double ForwardExtraShare = 0.1;
+static constexpr double ForwardExtraBase = 4;
+
+static ExtraLoadLimits forwardLimits() {
+  ExtraLoadLimits Limits;
+  Limits.Share = ForwardExtraShare;
+  Limits.Base = ForwardExtraBase;
+  return Limits;
+}
+
 RelayState::RelayState(RelayStateOptions InitialOptions)
-    : Options(std::move(InitialOptions)), Instances(Options.AssumedInstances) {}
+    : Options(std::move(InitialOptions)), Instances(Options.AssumedInstances) {
+  Homes.Pool =
+      std::make_shared<BackendPool>(Options.Zone, Options.Seed, Options.Pool);
+  Homes.Pool->setConnectionShare(HomeConnections, absl::InfinitePast());
+  Homes.Budget = std::make_shared<ExtraLoadBudget>(forwardLimits());
+}
+
+std::vector<ServerRef>
+RelayState::updateHomes(const InstanceDirectory &Directory,
+                        const std::string &Self, TimePoint Now) {
+  std::set<std::string> Zones;
+  for (const InstanceRecord &Instance : Directory.Instances)
+    Zones.insert(Instance.Zone);
+  std::set<std::string> Chosen;
+  std::vector<ServerRef> NewHomes;
+  for (const std::string &Zone : Zones)
+    for (const InstanceRecord &Home :
+         selectHomes(Directory, Zone, Options.Homes)) {
+      if (Home.Name == Self)
+        continue;
+      Chosen.insert(Home.Name);
+      const bool Known = Homes.Pool->servers().count(Home.Name) != 0;
+      DiscoveredServer Info;
+      Info.Id = Home.Name;
+      Info.Service = HomesService;
+      Info.Address = Home.LinkAddress;
+      Info.Zone = Home.Zone;
+      Info.Slots = HomeSlots;
+      Homes.Pool->upsert(Info, Now);
+      if (!Known && Zone == Options.Zone)
+        NewHomes.push_back(Homes.Pool->servers().at(Home.Name));
+    }
+  std::vector<std::string> Left;
+  for (const auto &[Name, Home] : Homes.Pool->servers())
+    if (Chosen.count(Name) == 0)
+      Left.push_back(Name);
+  for (const std::string &Name : Left)
+    Homes.Pool->remove(Name, Now);
+  Homes.Pool->grantPermits(Now);
+  return NewHomes;
+}
+
+std::vector<ServerRef> RelayState::homes() const {
+  std::vector<ServerRef> Out;
+  for (const auto &[Name, Home] : Homes.Pool->servers())
+    if (Home->AcceptsAttempts)
+      Out.push_back(Home);
+  std::stable_partition(Out.begin(), Out.end(), [&](const ServerRef &Home) {
+    return Home->Info.Zone == Options.Zone;
+  });
+  return Out;
+}
+
+RelayPlan RelayState::planForward(const Route *MatchedRoute, TimePoint Arrived,
+                                  Duration TimeLeft) {
+  auto Forward = std::make_shared<Route>();
+  Forward->Name = MatchedRoute != nullptr ? MatchedRoute->Name : "";
+  // Without a route it is unknown whether the request may be repeated.
+  Forward->Kind =
+      MatchedRoute != nullptr ? MatchedRoute->Kind : RequestKind::AtMostOnce;
+  Forward->Target = RouteTarget::Home;
+  // Each home that the request reaches may send it to a backend server.
+  Forward->MaxAttempts =
+      MatchedRoute != nullptr
+          ? std::min(MatchedRoute->MaxAttempts, MaxHomeAttempts)
+          : 1;
+  Forward->Timeout =
+      MatchedRoute != nullptr ? MatchedRoute->Timeout : UnknownRouteTimeout;
+  Forward->Objective =
+      MatchedRoute != nullptr ? MatchedRoute->Objective : UnknownRouteObjective;
+  Forward->Priority = MatchedRoute != nullptr ? MatchedRoute->Priority : 0;
+  std::shared_ptr<RouteStats> &S = HomeStats[Forward->Name];
+  if (S == nullptr)
+    S = std::make_shared<RouteStats>();
+  RelayPlan Plan;
+  Plan.Stats = S;
+  Plan.ArrivalTime = Arrived;
+  Plan.Deadline =
+      Arrived + std::min(TimeLeft - Options.DeadlineMargin, Forward->Timeout);
+  Plan.CallerDeadline = Arrived + TimeLeft;
+  Plan.ObjectiveDeadline = Plan.Deadline;
+  Plan.Targets.push_back(RelayTarget{HomesService, Homes.Pool, Homes.Budget});
+  Plan.MatchedRoute = Forward.get();
+  Plan.OwnedRoute = std::move(Forward);
+  return Plan;
+}
 
 RelayState::Service &RelayState::service(const std::string &Name) {
   Service &S = Services[Name];
@@ -28,6 +140,9 @@
         Existing != nullptr ? Existing : std::make_shared<RouteStats>();
   }
   Stats = std::move(NewStats);
+  for (auto It = HomeStats.begin(); It != HomeStats.end();)
+    It = It->first.empty() || Stats.count(It->first) != 0 ? std::next(It)
+                                                          : HomeStats.erase(It);
   updateConnectionShares(Now);
   return true;
 }
@@ -97,7 +212,7 @@
 }
 
 RelayPlan RelayState::plan(const Route &MatchedRoute, TimePoint Arrived,
-                           Duration TimeLeft) {
+                           Duration TimeLeft, Duration TransitTime) {
   RelayPlan Plan;
   Plan.MatchedRoute = &MatchedRoute;
   Plan.Stats = Stats.at(MatchedRoute.Name);
@@ -106,9 +221,10 @@
   Plan.Deadline = Arrived + std::min(TimeLeft - Options.DeadlineMargin,
                                      MatchedRoute.Timeout);
   Plan.CallerDeadline = Arrived + TimeLeft;
-  Plan.ObjectiveDeadline =
-      std::min(Plan.Deadline,
-               Arrived + MatchedRoute.Objective - Options.ObjectiveMargin);
+  Plan.ObjectiveDeadline = std::min(
+      Plan.Deadline, Arrived + MatchedRoute.Objective -
+                         std::min(TransitTime, MatchedRoute.Objective / 4) -
+                         Options.ObjectiveMargin);
   auto Add = [&](const std::string &Name) {
     const Service &S = service(Name);
     Plan.Targets.push_back(RelayTarget{Name, S.Pool, S.Budget});
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -3,6 +3,7 @@
 
 #include "core/relay/BackendPool.h"
 #include "core/relay/ExtraLoadBudget.h"
+#include "core/relay/HomeSelection.h"
 #include "core/relay/RelayRequest.h"
 #include "core/relay/RouteTable.h"
 #include "core/relay/ServerFeed.h"
@@ -21,12 +22,13 @@
   /// Number of instances assumed until the actual number is known. A high
   /// number keeps the shares of this instance small.
   int AssumedInstances = 32;
-  /// Time before the objective at which a response is sent, so that it reaches
-  /// the caller in time.
-  Duration ObjectiveMargin = absl::Milliseconds(8);
+  /// Time before the objective at which a response is sent, besides its time in
+  /// transit, so that it reaches the caller in time.
+  Duration ObjectiveMargin = absl::Milliseconds(4);
   /// Likewise for the caller's timeout.
   Duration DeadlineMargin = absl::Milliseconds(10);
   PoolPolicy Pool;
+  HomePolicy Homes;
   std::uint64_t Seed = 1;
 };
 
@@ -51,9 +53,24 @@
   int instances() const { return Instances; }
 
   /// Plans a request on a route of table(). \p TimeLeft is the rest of the
-  /// caller's timeout at \p Arrived.
+  /// caller's timeout at \p Arrived, \p TransitTime the time that the request
+  /// took before and the response will take.
   RelayPlan plan(const Route &MatchedRoute, TimePoint Arrived,
-                 Duration TimeLeft);
+                 Duration TimeLeft, Duration TransitTime);
+
+  /// Puts the homes of \p Directory into the pool of forwarding targets; those
+  /// of other zones are used if no home of the own zone can be reached. Returns
+  /// the homes of the own zone that are new.
+  std::vector<ServerRef> updateHomes(const InstanceDirectory &Directory,
+                                     const std::string &Self, TimePoint Now);
+  /// Whether a home is known that is not marked unreachable.
+  bool hasReachableHome() const { return Homes.Pool->hasReachableServer(); }
+  /// Homes in order of preference, those of the own zone first.
+  std::vector<ServerRef> homes() const;
+  /// Plans to forward a request to a home. \p MatchedRoute is the route that
+  /// the request matches in table(), or null if it matches none.
+  RelayPlan planForward(const Route *MatchedRoute, TimePoint Arrived,
+                        Duration TimeLeft);
 
   /// Snapshots by name of every service that a planned request or a discovered
   /// server has named so far.
@@ -78,6 +95,9 @@
   /// Service name by server ID.
   std::map<std::string, std::string> ServiceOf;
   std::map<std::string, std::shared_ptr<RouteStats>> Stats;
+  Service Homes;
+  /// Response times of homes, by route name.
+  std::map<std::string, std::shared_ptr<RouteStats>> HomeStats;
   SplitPicker Splits;
 };
 
--- a/src/core/relay/Route.h
+++ b/src/core/relay/Route.h
@@ -14,6 +14,7 @@
   Single, ///< One backend server of Services[0].
   Split,  ///< One backend server of one service, selected by weight.
   Survey, ///< One backend server of each service; the parts are merged.
+  Home,   ///< One instance, which matches the request to a route itself.
 };
 
 struct RouteService {
--- /dev/null
+++ b/src/relay/AttemptCodec.h
@@ -0,0 +1,39 @@
+#ifndef QUETZALLEAD_RELAY_ATTEMPTCODEC_H
+#define QUETZALLEAD_RELAY_ATTEMPTCODEC_H
+
+#include "core/relay/BackendResponse.h"
+#include "relay/ForwardedRequest.h"
+#include "relay/HttpExchange.h"
+#include <functional>
+#include <string>
+
+namespace quetzallead {
+
+struct PoolServer;
+
+/// What an attempt carries besides the caller's request.
+struct AttemptToEncode {
+  const PoolServer &Server;
+  /// Time that the server has for the attempt.
+  Duration TimeLeft;
+  /// An earlier attempt of the request may have been executed.
+  bool MayRepeat = false;
+  /// An earlier attempt was passed back.
+  bool PassedBack = false;
+};
+
+/// Translates between attempts and their bytes; differs between backend servers
+/// and homes.
+struct AttemptCodec {
+  std::function<std::string(const ForwardedRequest &, const AttemptToEncode &)>
+      Encode;
+  std::function<AttemptEnd(const ForwardedRequest &,
+                           const HttpExchangeResult &)>
+      Decode;
+  /// The peer acknowledges a request that it has read.
+  bool Acknowledged = false;
+};
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_RELAY_ATTEMPTCODEC_H
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -29,6 +29,7 @@
 
 void CallerSession::start() {
   setSocketOptions(Socket, UnackedTimeout, KeepAliveInterval);
+  RoundTrip = roundTripTime(Socket);
   startTimer(Handlers.Limits().IdleTimeout, 0);
   read();
 }
@@ -135,6 +136,7 @@
   RequestParser.reset();
   HeadRequest = Request.method() == http::verb::head;
   Stage = SessionStage::Serving;
+  ++RequestCount;
   Handlers.OnRequest(shared_from_this(), std::move(Request));
 }
 
@@ -208,6 +210,27 @@
   startTimer(LingerTimeout, 0);
 }
 
+void CallerSession::acknowledge() {
+  static const std::string Processing = "HTTP/1.1 102 Processing\r\n\r\n";
+  error_code IgnoredEC;
+  Socket.non_blocking(true, IgnoredEC);
+  // The few bytes fit into the socket buffer. If they do not, the peer does not
+  // read, and the response fails in its turn.
+  const std::size_t Sent =
+      Socket.write_some(asio::buffer(Processing), IgnoredEC);
+  if (Sent != 0 && Sent != Processing.size())
+    close();
+}
+
+bool CallerSession::closedByPeer() {
+  char Byte = 0;
+  error_code EC;
+  Socket.non_blocking(true, EC);
+  const std::size_t Count = Socket.receive(asio::buffer(&Byte, 1),
+                                           asio::socket_base::message_peek, EC);
+  return EC ? EC != asio::error::would_block : Count == 0;
+}
+
 void CallerSession::closeIfIdle() {
   if (idle())
     linger();
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -19,8 +19,8 @@
 
 /// Callbacks of a caller's connection into the rest of the program.
 struct CallerHandlers {
-  /// Serves a request. answer() is called once for each, unless OnLeft comes
-  /// first.
+  /// Serves a request. respond() is called once for each, unless OnDisconnected
+  /// comes first.
   std::function<void(const std::shared_ptr<CallerSession> &, HttpRequest)>
       OnRequest;
   /// The caller disconnected while its request was being served.
@@ -51,7 +51,20 @@
   /// Whether the connection can stay open after the response.
   bool mayKeepOpen() const { return KeepAlive && !Handlers.ShouldClose(); }
   bool isHeadRequest() const { return HeadRequest; }
+  /// Whether a request has been read and not been answered.
   bool serving() const { return Stage == SessionStage::Serving; }
+  bool uses(const CallerHandlers &Given) const { return &Handlers == &Given; }
+  /// Estimated time from the caller's decision to send the request being served
+  /// to its arrival, and from the response to the caller. The first request on
+  /// a connection also waits for its set-up.
+  Duration transitTime() const {
+    return RequestCount == 1 ? RoundTrip * 2 : RoundTrip;
+  }
+  /// Tells the peer that the request being served has been read and will be
+  /// answered.
+  void acknowledge();
+  /// Whether the peer has closed the connection, as far as can be read.
+  bool closedByPeer();
   bool idle() const {
     return Stage == SessionStage::Reading && !RequestParser && Unparsed.empty();
   }
@@ -81,6 +94,9 @@
   bool HeadRequest = false;
   bool HeaderSeen = false;
   bool ReadPaused = false;
+  /// Requests read on this connection.
+  std::uint64_t RequestCount = 0;
+  Duration RoundTrip = absl::ZeroDuration();
   std::shared_ptr<LoopTimers::Subscription> Timer;
   std::array<char, 8192> Buffer;
 };
--- a/src/relay/Deployment.h
+++ b/src/relay/Deployment.h
@@ -22,8 +22,13 @@
   std::string SheetKey;
   /// Key prefix of backend servers.
   std::string ServersPrefix;
-  /// Key prefix of this tier's instances.
+  /// Key prefix of all that this tier stores.
+  std::string TierPrefix;
+  /// Key prefix of this tier's instances; begins with TierPrefix.
   std::string InstancesPrefix;
+  /// Key of the secret that this tier's instances share; begins with
+  /// TierPrefix.
+  std::string SecretKey;
   std::function<Result<RouteSheet>(absl::string_view Text)> DecodeSheet;
   std::function<FeedEntry(const StoreItem &)> DecodeServer;
   std::function<std::unique_ptr<RevisionedStore>(
--- a/src/relay/ForwardedRequest.h
+++ b/src/relay/ForwardedRequest.h
@@ -22,6 +22,10 @@
   /// The caller's timeout; empty if the request does not state one.
   std::optional<Duration> RemainingTime;
   TimePoint ArrivalTime;
+  /// Estimated time from the caller's decision to send the request to
+  /// ArrivalTime, including the set-up of its connection, and from the response
+  /// to the caller.
+  Duration TransitTime = absl::ZeroDuration();
 };
 
 } // namespace quetzallead
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -182,6 +182,10 @@
       http::status_class::informational) {
     // The final response follows.
     resetParser();
+    if (Current.OnInformational)
+      Current.OnInformational();
+    if (Stage != ConnectionStage::Open || Done == nullptr)
+      return;
     if (!Unparsed.empty()) {
       std::string Buffered = std::move(Unparsed);
       Unparsed.clear();
--- a/src/relay/HttpExchange.h
+++ b/src/relay/HttpExchange.h
@@ -24,6 +24,8 @@
   /// EchoValue belongs to another request. Not checked if empty.
   std::string EchoHeader;
   std::string EchoValue;
+  /// Called for each informational (1xx) response; may be empty.
+  std::function<void()> OnInformational;
 };
 
 /// Result of an exchange: Answered with Response, or one of NotSent, Lost,
--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -1,68 +1,135 @@
 #include "relay/InstanceRegistry.h"
 #include "absl/hash/hash.h"
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
 #include <algorithm>
+#include <openssl/rand.h>
 
 namespace quetzallead {
 
-/// Time to live of the lease: how long a failed instance is still counted.
-static constexpr Duration LeaseTtl = absl::Seconds(15);
+/// Time to live of the lease: how long a failed instance stays registered. The
+/// other instances notice a lost home by their links to it.
+static constexpr Duration LeaseTtl = absl::Seconds(30);
 /// Interval between lease renewals, short enough that one may fail before the
-/// lease expires. Each renewal is followed by a count.
-static constexpr Duration RenewInterval = absl::Seconds(5);
-/// Delay from registration to the first renewal and count.
-static constexpr Duration FirstCountDelay = absl::Seconds(2);
-/// Delay before a failed call is retried.
-static constexpr Duration RetryDelay = absl::Seconds(1);
-
-InstanceRegistry::InstanceRegistry(RevisionedStore &GivenStore,
-                                   LoopTimers &GivenTimers,
-                                   std::string GivenPrefix,
-                                   std::string GivenName,
-                                   std::function<void(int)> GivenOnCount)
-    : Store(GivenStore), Timers(GivenTimers), Prefix(std::move(GivenPrefix)),
-      Name(std::move(GivenName)), OnCount(std::move(GivenOnCount)),
-      Engine(absl::Hash<std::string>()(Name)) {}
-
-void InstanceRegistry::start() { grantLease(); }
+/// lease expires. Each renewal is followed by a read of the directory.
+static constexpr Duration RenewInterval = absl::Seconds(10);
+/// Interval between reads of an instance that is not registered.
+static constexpr Duration RefreshInterval = absl::Seconds(15);
+/// Delay from registration to the first renewal and read.
+static constexpr Duration FirstReadDelay = absl::Seconds(2);
+/// Delay before a failed call is retried, doubled with each consecutive one.
+static constexpr Duration MinRetryDelay = absl::Milliseconds(100);
+static constexpr int MaxRetryDoublings = 4;
+/// Length of the secret that authenticates instances to each other.
+static constexpr std::size_t SecretBytes = 32;
+
+InstanceRegistry::InstanceRegistry(
+    RevisionedStore &GivenStore, LoopTimers &GivenTimers,
+    InstanceRegistryOptions GivenOptions,
+    std::function<void(const InstanceDirectory &)> GivenOnDirectory)
+    : Store(GivenStore), Timers(GivenTimers), Options(std::move(GivenOptions)),
+      OnDirectory(std::move(GivenOnDirectory)),
+      Engine(absl::Hash<std::string>()(Options.Self.Name)) {}
+
+void InstanceRegistry::start() { readDirectory(std::string()); }
+
+double InstanceRegistry::randomFraction() {
+  return static_cast<double>(Engine()) / 4294967296.0;
+}
 
 void InstanceRegistry::scheduleAdvance(Duration Delay) {
-  const double JitterFactor =
-      0.75 + 0.5 * (static_cast<double>(Engine()) / 4294967296.0);
-  Timer = Timers.at(LoopTimers::now() + Delay * JitterFactor,
+  ConsecutiveFailures = 0;
+  Timer = Timers.at(LoopTimers::now() + Delay * (0.75 + 0.5 * randomFraction()),
                     [this](TimePoint) { advance(); });
 }
 
+void InstanceRegistry::scheduleRetry() {
+  const int Doublings = std::min(ConsecutiveFailures, MaxRetryDoublings);
+  const int Failures = ConsecutiveFailures + 1;
+  scheduleAdvance(MinRetryDelay * (1 << Doublings));
+  ConsecutiveFailures = Failures;
+}
+
+void InstanceRegistry::requireRegistration() {
+  if (WantsRegistration || Deregistered)
+    return;
+  WantsRegistration = true;
+  // A read in progress continues with the registration when it ends.
+  if (DirectoryRead && Timer != nullptr)
+    advance();
+}
+
 void InstanceRegistry::advance() {
+  Timer.reset();
   if (Deregistered)
     return;
-  if (Lease == 0)
+  if (!DirectoryRead)
+    readDirectory(std::string());
+  else if (WantsRegistration && !HasSecret && !Options.Self.LinkAddress.empty())
+    createSecret();
+  else if (WantsRegistration && Lease == 0)
     grantLease();
-  else if (!Registered)
+  else if (WantsRegistration && !Registered)
     putRegistration();
-  else
+  else if (Registered && !ReadNext)
     renewLease();
+  else
+    readDirectory(std::string());
+}
+
+void InstanceRegistry::createSecret() {
+  std::string Secret(SecretBytes, '\0');
+  if (RAND_bytes(reinterpret_cast<unsigned char *>(Secret.data()),
+                 static_cast<int>(Secret.size())) != 1) {
+    scheduleRetry();
+    return;
+  }
+  const std::string Text = absl::BytesToHexString(Secret);
+  Store.create(Options.SecretKey, Text, [this, Text](StoreReply Reply) {
+    if (Reply.Outcome == StoreOutcome::Done) {
+      Incoming.LinkSecret = Text;
+      HasSecret = true;
+      advance();
+      return;
+    }
+    // Another instance may have created it; the next read tells.
+    DirectoryRead = false;
+    scheduleRetry();
+  });
 }
 
 void InstanceRegistry::grantLease() {
   Store.grantLease(LeaseTtl, [this](StoreReply Reply) {
-    if (Reply.Outcome != StoreOutcome::Done) {
-      scheduleAdvance(RetryDelay);
+    if (Reply.Outcome != StoreOutcome::Done || Reply.Lease == 0) {
+      scheduleRetry();
       return;
     }
     Lease = Reply.Lease;
-    putRegistration();
+    if (Deregistered)
+      Store.endLease(Lease, [](StoreReply) {});
+    else
+      putRegistration();
   });
 }
 
 void InstanceRegistry::putRegistration() {
-  Store.put(Prefix + Name, Name, Lease, [this](StoreReply Reply) {
-    if (Reply.Outcome == StoreOutcome::NotFound)
-      Lease = 0;
-    Registered = Reply.Outcome == StoreOutcome::Done;
-    // The delay lets instances that start together all register before the
-    // first count.
-    scheduleAdvance(Registered ? FirstCountDelay : RetryDelay);
-  });
+  Store.put(Options.InstancesPrefix + Options.Self.Name,
+            encodeInstanceRecord(Options.Self), Lease,
+            [this](StoreReply Reply) {
+              if (Reply.Outcome == StoreOutcome::NotFound)
+                Lease = 0;
+              Registered = Reply.Outcome == StoreOutcome::Done;
+              ReadNext = true;
+              if (!Registered) {
+                scheduleRetry();
+                return;
+              }
+              Incoming.Instances.push_back(Options.Self);
+              OnDirectory(Incoming);
+              // The delay lets instances that start together all register
+              // before the next read.
+              scheduleAdvance(FirstReadDelay);
+            });
 }
 
 void InstanceRegistry::renewLease() {
@@ -70,29 +137,83 @@
     if (Reply.Outcome == StoreOutcome::NotFound) {
       Lease = 0;
       Registered = false;
-      grantLease();
+      advance();
       return;
     }
     if (Reply.Outcome == StoreOutcome::Done)
-      countInstances(std::string(), 0);
+      readDirectory(std::string());
     else
-      scheduleAdvance(RetryDelay);
+      scheduleRetry();
   });
 }
 
-void InstanceRegistry::countInstances(const std::string &AfterKey,
-                                      int CountSoFar) {
-  Store.read(Prefix, AfterKey, true, [this, CountSoFar](StorePage Page) {
-    const int Total = CountSoFar + static_cast<int>(Page.Items.size());
-    if (Page.Outcome == StoreOutcome::Done && Page.HasMore &&
-        !Page.Items.empty()) {
-      countInstances(Page.Items.back().Key, Total);
-      return;
+void InstanceRegistry::readDirectory(const std::string &AfterKey) {
+  if (AfterKey.empty())
+    Incoming = InstanceDirectory();
+  // Until the first registration an old directory would be misleading: the
+  // instances that start together have just registered.
+  const bool AllowStale =
+      DirectoryRead && HasSecret && (Registered || !WantsRegistration);
+  Store.read(Options.Prefix, AfterKey, AllowStale,
+             [this](const StorePage &Page) { onPage(Page); });
+}
+
+void InstanceRegistry::onPage(const StorePage &Page) {
+  if (Deregistered)
+    return;
+  if (Page.Outcome != StoreOutcome::Done) {
+    scheduleRetry();
+    return;
+  }
+  for (const StoreItem &Item : Page.Items) {
+    if (Item.Key == Options.SecretKey) {
+      Incoming.LinkSecret = Item.Value;
+      continue;
     }
-    if (Page.Outcome == StoreOutcome::Done && Total > 0)
-      OnCount(Total);
+    if (!absl::StartsWith(Item.Key, Options.InstancesPrefix))
+      continue;
+    auto Decoded = capture([&] { return decodeInstanceRecord(Item.Value); });
+    if (auto *Record = std::get_if<InstanceRecord>(&Decoded))
+      Incoming.Instances.push_back(std::move(*Record));
+    else
+      ++Incoming.Undecoded;
+  }
+  if (Page.HasMore && !Page.Items.empty()) {
+    readDirectory(Page.Items.back().Key);
+    return;
+  }
+  onDirectory();
+}
+
+void InstanceRegistry::onDirectory() {
+  DirectoryRead = true;
+  HasSecret = !Incoming.LinkSecret.empty();
+  ReadNext = false;
+  OnDirectory(Incoming);
+  if (Registered) {
     scheduleAdvance(RenewInterval);
-  });
+    return;
+  }
+  if (!WantsRegistration) {
+    switch (planRegistration(Incoming, Options.Self, Options.Homes,
+                             WaitedToRegister)) {
+    case RegistrationStep::Stay:
+      scheduleAdvance(RefreshInterval);
+      return;
+    case RegistrationStep::WaitFirst:
+      WaitedToRegister = true;
+      DirectoryRead = false;
+      Timer =
+          Timers.at(LoopTimers::now() + registrationDelay(Options.Self.Weight,
+                                                          randomFraction()),
+                    [this](TimePoint) { advance(); });
+      return;
+    case RegistrationStep::Register:
+      WantsRegistration = true;
+      break;
+    }
+  }
+  advance();
 }
 
 void InstanceRegistry::deregister() {
--- a/src/relay/InstanceRegistry.h
+++ b/src/relay/InstanceRegistry.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_RELAY_INSTANCEREGISTRY_H
 #define QUETZALLEAD_RELAY_INSTANCEREGISTRY_H
 
+#include "core/relay/HomeSelection.h"
 #include "relay/LoopTimers.h"
 #include "relay/RevisionedStore.h"
 #include <functional>
@@ -10,19 +11,33 @@
 
 namespace quetzallead {
 
-/// Registers this instance in the store under a lease and periodically counts
-/// the registered instances. While the store is unavailable, the last count
-/// stays in effect.
+/// Options of an InstanceRegistry.
+struct InstanceRegistryOptions {
+  /// Prefix of the registrations and of the secret.
+  std::string Prefix;
+  /// Key prefix of registrations; begins with Prefix.
+  std::string InstancesPrefix;
+  /// Key of the secret that all instances share; begins with Prefix.
+  std::string SecretKey;
+  InstanceRecord Self;
+  HomePolicy Homes;
+};
+
+/// Reads the directory of instances from the store and registers this instance
+/// there under a lease, if its zone has too few registered instances. While the
+/// store is unavailable, the last directory stays in effect.
 class InstanceRegistry {
 public:
-  /// \p Prefix is the key prefix under which instances register, \p Name the
-  /// name of this instance. \p OnCount is called after each complete count that
-  /// is not zero.
+  /// \p OnDirectory is called after each complete read.
   InstanceRegistry(RevisionedStore &Store, LoopTimers &Timers,
-                   std::string Prefix, std::string Name,
-                   std::function<void(int)> OnCount);
+                   InstanceRegistryOptions Options,
+                   std::function<void(const InstanceDirectory &)> OnDirectory);
 
   void start();
+  /// Registers this instance even if its zone has enough others.
+  void requireRegistration();
+  /// Whether this instance is registered, as far as it knows.
+  bool registered() const { return Registered; }
   /// Deregisters this instance by ending its lease.
   void deregister();
 
@@ -32,19 +47,33 @@
   void grantLease();
   void renewLease();
   void putRegistration();
-  /// Counts the keys after \p AfterKey and adds \p CountSoFar.
-  void countInstances(const std::string &AfterKey, int CountSoFar);
+  void createSecret();
+  /// Reads the keys after \p AfterKey into Incoming.
+  void readDirectory(const std::string &AfterKey);
+  void onPage(const StorePage &Page);
+  void onDirectory();
   /// Schedules advance() after \p Delay, with jitter.
   void scheduleAdvance(Duration Delay);
+  /// Schedules advance() after a failed call.
+  void scheduleRetry();
+  double randomFraction();
 
   RevisionedStore &Store;
   LoopTimers &Timers;
-  std::string Prefix;
-  std::string Name;
-  std::function<void(int)> OnCount;
+  InstanceRegistryOptions Options;
+  std::function<void(const InstanceDirectory &)> OnDirectory;
   pcg32 Engine;
+  InstanceDirectory Incoming;
   std::uint64_t Lease = 0;
+  int ConsecutiveFailures = 0;
+  /// The directory has been read completely at least once.
+  bool DirectoryRead = false;
+  bool WaitedToRegister = false;
+  bool WantsRegistration = false;
+  bool HasSecret = false;
   bool Registered = false;
+  /// The directory is to be read, rather than the lease renewed.
+  bool ReadNext = true;
   bool Deregistered = false;
   std::shared_ptr<LoopTimers::Subscription> Timer;
 };
--- /dev/null
+++ b/src/relay/LinkMessages.cpp
@@ -0,0 +1,172 @@
+#include "relay/LinkMessages.h"
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include <map>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace quetzallead {
+
+static absl::string_view view(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+/// HMAC-SHA256 in hexadecimal over \p Items, each preceded by its length, so
+/// that no two lists of items give the same message.
+static std::string sign(const std::string &Secret,
+                        std::initializer_list<absl::string_view> Items) {
+  std::string Message;
+  for (absl::string_view Item : Items)
+    absl::StrAppend(&Message, Item.size(), ":", Item);
+  unsigned char Digest[EVP_MAX_MD_SIZE];
+  unsigned int Length = 0;
+  HMAC(EVP_sha256(), Secret.data(), static_cast<int>(Secret.size()),
+       reinterpret_cast<const unsigned char *>(Message.data()), Message.size(),
+       Digest, &Length);
+  return absl::BytesToHexString(
+      absl::string_view(reinterpret_cast<const char *>(Digest), Length));
+}
+
+static bool equalInConstantTime(absl::string_view A, absl::string_view B) {
+  return A.size() == B.size() &&
+         CRYPTO_memcmp(A.data(), B.data(), A.size()) == 0;
+}
+
+/// The fields of a link header without its code, and the code.
+struct SignedFields {
+  absl::string_view Signed;
+  absl::string_view Code;
+  std::map<absl::string_view, std::uint64_t> Numbers;
+};
+
+/// Parses "name=number;...;mac=code".
+static std::optional<SignedFields> parseFields(absl::string_view Text) {
+  static constexpr absl::string_view CodeField = ";mac=";
+  SignedFields Out;
+  const std::size_t At = Text.rfind(CodeField);
+  if (At == absl::string_view::npos)
+    return std::nullopt;
+  Out.Signed = Text.substr(0, At);
+  Out.Code = Text.substr(At + CodeField.size());
+  for (absl::string_view Field : absl::StrSplit(Out.Signed, ';')) {
+    const std::pair<absl::string_view, absl::string_view> Pair =
+        absl::StrSplit(Field, absl::MaxSplits('=', 1));
+    if (!absl::SimpleAtoi(Pair.second, &Out.Numbers[Pair.first]))
+      return std::nullopt;
+  }
+  return Out;
+}
+
+std::string encodeLinkRequest(const ForwardedRequest &Call,
+                              const HeaderNames &Names,
+                              const LinkRequestInfo &Info, Duration Remaining,
+                              const std::string &Secret) {
+  const std::string Millis = absl::StrCat(
+      std::max<std::int64_t>(1, absl::ToInt64Milliseconds(Remaining)));
+  const std::string Fields =
+      absl::StrCat("age_us=", absl::ToInt64Microseconds(Info.Age),
+                   ";transit_us=", absl::ToInt64Microseconds(Info.TransitTime),
+                   ";sheet=", Info.SheetVersion,
+                   ";repeated=", static_cast<int>(Info.Repeated),
+                   ";passed_back=", static_cast<int>(Info.PassedBack),
+                   ";wants_sheet=", static_cast<int>(Info.WantsSheet));
+  const std::string Code =
+      sign(Secret, {Fields, Call.Method, Call.Target, Call.Host, Call.RequestId,
+                    Millis, Call.Body});
+  std::string Out = absl::StrCat(
+      Call.Method, " ", Call.Target, " HTTP/1.1\r\nHost: ", Call.Host, "\r\n",
+      Call.Headers, Names.RemainingTime, ": ", Millis, "\r\n", LinkHeader, ": ",
+      Fields, ";mac=", Code, "\r\n");
+  if (Call.HasBody)
+    absl::StrAppend(&Out, "Content-Length: ", Call.Body.size(), "\r\n");
+  absl::StrAppend(&Out, "\r\n", Call.Body);
+  return Out;
+}
+
+std::optional<LinkRequestInfo> decodeLinkRequest(const HttpRequest &Request,
+                                                 const HeaderNames &Names,
+                                                 const std::string &Secret) {
+  const auto Fields = parseFields(view(Request[LinkHeader]));
+  if (!Fields || Secret.empty())
+    return std::nullopt;
+  const std::string Code =
+      sign(Secret, {Fields->Signed, view(Request.method_string()),
+                    view(Request.target()),
+                    view(Request[boost::beast::http::field::host]),
+                    view(Request[Names.RequestId]),
+                    view(Request[Names.RemainingTime]), Request.body()});
+  if (!equalInConstantTime(Code, Fields->Code))
+    return std::nullopt;
+  auto Number = [&](absl::string_view Name) {
+    auto Found = Fields->Numbers.find(Name);
+    return Found != Fields->Numbers.end() ? Found->second : 0;
+  };
+  LinkRequestInfo Out;
+  Out.Age = absl::Microseconds(Number("age_us"));
+  Out.TransitTime = absl::Microseconds(Number("transit_us"));
+  Out.SheetVersion = Number("sheet");
+  Out.Repeated = Number("repeated") != 0;
+  Out.PassedBack = Number("passed_back") != 0;
+  Out.WantsSheet = Number("wants_sheet") != 0;
+  return Out;
+}
+
+/// Separates the status line of an encoded response from its header fields.
+static constexpr char LineEnd[] = "\r\n";
+
+/// The status code of an encoded response.
+static absl::string_view statusCode(absl::string_view Response) {
+  static constexpr std::size_t Start = sizeof("HTTP/1.1");
+  static constexpr std::size_t Digits = 3;
+  return Response.substr(Start, Digits);
+}
+
+std::string addLinkHeader(std::string Response, const std::string &RequestId,
+                          const LinkResponseInfo &Info,
+                          const std::string &Secret) {
+  const std::string Fields =
+      absl::StrCat("sheet=", Info.SheetVersion,
+                   ";store_lost=", static_cast<int>(Info.StoreLost),
+                   ";elsewhere=", static_cast<int>(Info.TryElsewhere));
+  const std::size_t HeadEnd = Response.find("\r\n\r\n") + 4;
+  const std::string Code =
+      sign(Secret, {Fields, RequestId, statusCode(Response),
+                    absl::string_view(Response).substr(HeadEnd)});
+  const std::size_t StatusEnd = Response.find(LineEnd) + sizeof(LineEnd) - 1;
+  Response.insert(StatusEnd, absl::StrCat(LinkHeader, ": ", Fields,
+                                          ";mac=", Code, LineEnd));
+  return Response;
+}
+
+std::string encodeLinkSheet(absl::string_view Sheet, bool KeepOpen) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\n",
+                      KeepOpen ? "" : "Connection: close\r\n",
+                      "Content-Length: ", Sheet.size(), "\r\n\r\n", Sheet);
+}
+
+std::optional<LinkResponseInfo> decodeLinkResponse(const HttpResponse &Response,
+                                                   const std::string &RequestId,
+                                                   const std::string &Secret) {
+  const auto Fields = parseFields(view(Response[LinkHeader]));
+  if (!Fields || Secret.empty())
+    return std::nullopt;
+  if (!equalInConstantTime(
+          sign(Secret, {Fields->Signed, RequestId,
+                        absl::StrCat(Response.result_int()), Response.body()}),
+          Fields->Code))
+    return std::nullopt;
+  auto Number = [&](absl::string_view Name) {
+    auto Found = Fields->Numbers.find(Name);
+    return Found != Fields->Numbers.end() ? Found->second : 0;
+  };
+  LinkResponseInfo Out;
+  Out.SheetVersion = Number("sheet");
+  Out.StoreLost = Number("store_lost") != 0;
+  Out.TryElsewhere = Number("elsewhere") != 0;
+  return Out;
+}
+
+} // namespace quetzallead
--- /dev/null
+++ b/src/relay/LinkMessages.h
@@ -0,0 +1,78 @@
+#ifndef QUETZALLEAD_RELAY_LINKMESSAGES_H
+#define QUETZALLEAD_RELAY_LINKMESSAGES_H
+
+#include "core/relay/BackendResponse.h"
+#include "relay/ForwardedRequest.h"
+#include "relay/HeaderNames.h"
+#include "relay/HttpExchange.h"
+#include "relay/RelayMessages.h"
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace quetzallead {
+
+/// Target of the request for the sheet.
+inline constexpr char LinkSheetTarget[] = "/quetzallead/sheet";
+
+/// What an instance tells a home about a request, besides the request.
+struct LinkRequestInfo {
+  /// Time since the caller's request arrived.
+  Duration Age = absl::ZeroDuration();
+  /// ForwardedRequest::TransitTime at the asking instance.
+  Duration TransitTime = absl::ZeroDuration();
+  /// Highest sheet version whose effect the asking instance has seen; a home
+  /// with an older sheet must not serve the request.
+  std::uint64_t SheetVersion = 0;
+  /// Another home may already have sent the request to backend servers.
+  bool Repeated = false;
+  /// Another home has passed the request back: this one serves it even if it
+  /// has lost the store.
+  bool PassedBack = false;
+  /// The caller's request is for the sheet of the home.
+  bool WantsSheet = false;
+};
+
+/// What a home tells the asking instance about a response.
+struct LinkResponseInfo {
+  /// Sheet version of the home; 0 if it has none.
+  std::uint64_t SheetVersion = 0;
+  /// The home has lost the store.
+  bool StoreLost = false;
+  /// The home has not run the request and never will; another one may.
+  bool TryElsewhere = false;
+};
+
+/// Encodes a request to a home with a message authentication code under
+/// \p Secret. \p Remaining is the time until the caller's timeout.
+std::string encodeLinkRequest(const ForwardedRequest &Call,
+                              const HeaderNames &Names,
+                              const LinkRequestInfo &Info, Duration Remaining,
+                              const std::string &Secret);
+
+/// Checks and decodes the link header of \p Request, whose body must still be
+/// in place. Returns nothing if it is missing, malformed or not signed with
+/// \p Secret.
+std::optional<LinkRequestInfo> decodeLinkRequest(const HttpRequest &Request,
+                                                 const HeaderNames &Names,
+                                                 const std::string &Secret);
+
+/// Inserts the link header into \p Response, an encoded response to the request
+/// \p RequestId.
+std::string addLinkHeader(std::string Response, const std::string &RequestId,
+                          const LinkResponseInfo &Info,
+                          const std::string &Secret);
+
+/// Encodes the response to a request for the sheet; an empty \p Sheet tells
+/// that the asking instance has the newest one.
+std::string encodeLinkSheet(absl::string_view Sheet, bool KeepOpen);
+
+/// Checks and decodes the link header of a response. Returns nothing if it is
+/// missing, malformed or not signed with \p Secret.
+std::optional<LinkResponseInfo> decodeLinkResponse(const HttpResponse &Response,
+                                                   const std::string &RequestId,
+                                                   const std::string &Secret);
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_RELAY_LINKMESSAGES_H
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -1,5 +1,6 @@
 #include "relay/RelayDaemon.h"
 #include "absl/hash/hash.h"
+#include "absl/strings/str_cat.h"
 #include "runtime/Endpoint.h"
 #include "runtime/Logger.h"
 #include <algorithm>
@@ -35,6 +36,30 @@
 static constexpr std::uint64_t ServedLogInterval = 200;
 /// Longer request targets are truncated in log lines.
 static constexpr std::size_t MaxLoggedTargetChars = 200;
+/// Delay before the sheet is requested again after a home did not return it.
+static constexpr Duration SheetFetchRetryDelay = absl::Milliseconds(100);
+/// Interval at which homes, and other instances, ask one of the homes after
+/// another for a newer sheet. A home that has lost the store must not serve the
+/// callers of instances that have not by an old sheet; a version has to be in
+/// force within seconds.
+static constexpr Duration HomePollInterval = absl::Milliseconds(700);
+static constexpr Duration AskerPollInterval = absl::Milliseconds(2000);
+/// Timeout of a request for the sheet.
+static constexpr Duration SheetFetchTimeout = absl::Milliseconds(500);
+/// A home counts the store as lost if it does not respond for this long, or if
+/// another home has had a newer sheet for this long.
+static constexpr Duration StoreLostDelay = absl::Milliseconds(500);
+/// A home that has lost the store hands its requests over to other homes while
+/// one that has not was seen within this time.
+static constexpr Duration HomeSightingMaxAge = absl::Seconds(3);
+/// Limits of requests between instances: a caller's request and some more.
+static constexpr std::size_t MaxLinkHeaderBytes = std::size_t{1} << 17;
+static constexpr std::uint64_t MaxLinkBodyBytes = std::uint64_t{64} << 20;
+static constexpr Duration LinkIdleTimeout = absl::Minutes(10);
+static constexpr Duration LinkHeaderTimeout = absl::Seconds(5);
+/// A home's response may arrive this long after the route's timeout, which the
+/// home keeps itself.
+static constexpr Duration LinkTimeoutMargin = absl::Milliseconds(20);
 /// Delay after a failed accept, for example when no file descriptors are left.
 static constexpr Duration AcceptRetryDelay = absl::Milliseconds(50);
 
@@ -42,6 +67,7 @@
   RelayStateOptions Options;
   Options.Zone = S.Zone;
   Options.ExtraLoad = S.ExtraLoad;
+  Options.Homes = S.Homes;
   Options.Seed = absl::Hash<std::string>()(S.Instance);
   return Options;
 }
@@ -79,7 +105,48 @@
       Store(Environment.MakeStore(Loop, Timers, Settings.StoreAddress,
                                   Settings.StoreTimeout)),
       CallerListener(Loop), ReadinessListener(Loop), MetricsListener(Loop),
-      Signals(Loop, SIGTERM, SIGINT, SIGHUP) {
+      LinkListener(Loop), Signals(Loop, SIGTERM, SIGINT, SIGHUP) {
+  BackendCodec.Encode = [this](const ForwardedRequest &Call,
+                               const AttemptToEncode &Attempt) {
+    return encodeAttempt(Call, Environment.Headers, Attempt.Server.Info.Id,
+                         Attempt.TimeLeft);
+  };
+  BackendCodec.Decode = [this](const ForwardedRequest &,
+                               const HttpExchangeResult &End) {
+    return decodeExchangeResult(End, Environment.Headers);
+  };
+  LinkCodec.Acknowledged = true;
+  LinkCodec.Encode = [this](const ForwardedRequest &Call,
+                            const AttemptToEncode &Attempt) {
+    LinkRequestInfo Info;
+    Info.Age = LoopTimers::now() - Call.ArrivalTime;
+    Info.TransitTime = Call.TransitTime;
+    Info.SheetVersion = NewestSheetVersion;
+    Info.Repeated = Attempt.MayRepeat;
+    Info.PassedBack = Attempt.PassedBack;
+    return encodeLinkRequest(Call, Environment.Headers, Info, Attempt.TimeLeft,
+                             LinkSecret);
+  };
+  LinkCodec.Decode = [this](const ForwardedRequest &Call,
+                            const HttpExchangeResult &End) {
+    if (End.Result != AttemptResult::Answered)
+      return decodeExchangeResult(End, Environment.Headers);
+    const auto Info =
+        decodeLinkResponse(*End.Response, Call.RequestId, LinkSecret);
+    AttemptEnd Out;
+    if (!Info) {
+      Out.Result = AttemptResult::BadReply;
+      return Out;
+    }
+    noteHome(*Info);
+    if (Info->TryElsewhere) {
+      Out.Result = AttemptResult::Shed;
+      return Out;
+    }
+    Out.Result = AttemptResult::Answered;
+    Out.Response = decodeResponse(*End.Response, Environment.Headers);
+    return Out;
+  };
   RequestHandlers.OnRequest =
       [this](const std::shared_ptr<CallerSession> &Caller,
              HttpRequest Request) { onRequest(Caller, std::move(Request)); };
@@ -106,6 +173,20 @@
       [this](const std::shared_ptr<CallerSession> &S) { onReadiness(S); });
   MetricsHandlers = immediateResponder(
       [this](const std::shared_ptr<CallerSession> &S) { onScrape(S); });
+  LinkHandlers = RequestHandlers;
+  LinkHandlers.OnRequest = [this](const std::shared_ptr<CallerSession> &Asker,
+                                  HttpRequest Request) {
+    onLinkRequest(Asker, std::move(Request));
+  };
+  LinkHandlers.OnClosed = [](CallerSession &) {};
+  LinkHandlers.Limits = [] {
+    ClientLimits Limits;
+    Limits.MaxHeaderBytes = MaxLinkHeaderBytes;
+    Limits.MaxBodyBytes = MaxLinkBodyBytes;
+    Limits.HeaderTimeout = LinkHeaderTimeout;
+    Limits.IdleTimeout = LinkIdleTimeout;
+    return Limits;
+  };
 }
 
 Result<bool> RelayDaemon::bind(Acceptor &Listener, const std::string &Address) {
@@ -129,6 +210,8 @@
   Result<bool> Bound = bind(CallerListener, Settings.CallerListen);
   if (Bound)
     Bound = bind(ReadinessListener, Settings.ReadinessListen);
+  if (Bound && !Settings.LinkListen.empty())
+    Bound = bind(LinkListener, Settings.LinkListen);
   if (!Bound || Settings.MetricsListen.empty())
     return Bound;
   // Metrics are optional: the daemon also serves callers without them.
@@ -195,8 +278,13 @@
   SheetHandlers.OnChanges = [this](const std::vector<StoreItem> &Items) {
     updateSheet(Items);
   };
-  SheetHandlers.OnUnavailable = UnavailableLogger("sheet");
-  SheetHandlers.OnAvailable = [] {
+  SheetHandlers.OnUnavailable = [this, LogUnavailable = UnavailableLogger(
+                                           "sheet")](StoreOutcome Outcome) {
+    SheetStoreLostSince = LoopTimers::now();
+    LogUnavailable(Outcome);
+  };
+  SheetHandlers.OnAvailable = [this] {
+    SheetStoreLostSince = absl::InfiniteFuture();
     logEvent(LogLevel::Info, "store_back", {{"following", "sheet"}});
   };
   PrefixWatchOptions SheetOptions;
@@ -216,10 +304,12 @@
   };
   ServerHandlers.OnUnavailable = [this, LogUnavailable = UnavailableLogger(
                                             "servers")](StoreOutcome Outcome) {
+    ServerStoreLostSince = LoopTimers::now();
     Feed.onSourceUnavailable(LoopTimers::now());
     LogUnavailable(Outcome);
   };
   ServerHandlers.OnAvailable = [this] {
+    ServerStoreLostSince = absl::InfiniteFuture();
     Feed.onSourceAvailable(LoopTimers::now());
     logEvent(LogLevel::Info, "store_back", {{"following", "servers"}});
   };
@@ -229,17 +319,124 @@
   ServerOptions.Seed = Seed + 1;
   ServerWatcher = std::make_unique<PrefixWatcher>(*Store, Timers, ServerOptions,
                                                   std::move(ServerHandlers));
+  InstanceRegistryOptions RegistryOptions;
+  RegistryOptions.Prefix = Environment.TierPrefix;
+  RegistryOptions.InstancesPrefix = Environment.InstancesPrefix;
+  RegistryOptions.SecretKey = Environment.SecretKey;
+  RegistryOptions.Self =
+      InstanceRecord{Settings.Instance, Settings.Zone, Settings.LinkListen,
+                     homeWeight(Settings.Machine)};
+  RegistryOptions.Homes = Settings.Homes;
   Registry = std::make_unique<InstanceRegistry>(
-      *Store, Timers, Environment.InstancesPrefix, Settings.Instance,
-      [this](int Count) {
-        if (Count == State.instances())
-          return;
-        logEvent(LogLevel::Info, "instances_counted", {{"count", Count}});
-        State.setInstanceCount(Count, LoopTimers::now());
-      });
+      *Store, Timers, std::move(RegistryOptions),
+      [this](const InstanceDirectory &Directory) { onDirectory(Directory); });
+  Registry->start();
+  if (Settings.LinkListen.empty()) {
+    Registry->requireRegistration();
+    activate();
+  }
+}
+
+void RelayDaemon::activate() {
+  if (Active)
+    return;
+  Active = true;
+  logEvent(LogLevel::Info, "home_activated", {{"chosen", Home}});
   SheetWatcher->start();
   ServerWatcher->start();
-  Registry->start();
+}
+
+void RelayDaemon::onDirectory(const InstanceDirectory &Directory) {
+  const TimePoint Now = LoopTimers::now();
+  LinkSecret = Directory.LinkSecret;
+  const int Count = std::max(1, Directory.count());
+  const bool WasHome = Home;
+  Home = Settings.LinkListen.empty() ||
+         isHome(Directory, Settings.Instance, Settings.Zone, Settings.Homes);
+  if (Count != State.instances() || Home != WasHome)
+    logEvent(LogLevel::Info, "instances_counted",
+             {{"count", Count}, {"home", Home}});
+  State.setInstanceCount(Count, Now);
+  if (Settings.LinkListen.empty())
+    return;
+  const std::vector<ServerRef> NewHomes =
+      State.updateHomes(Directory, Settings.Instance, Now);
+  Backends.closeRemovedServers();
+  if (Home)
+    activate();
+  else
+    for (const ServerRef &New : NewHomes)
+      Backends.preconnect(New);
+  if (FetchTimer == nullptr)
+    fetchSheet();
+}
+
+bool RelayDaemon::canServe() const {
+  return State.table() != nullptr && ServerWatcher->hasSnapshot() &&
+         (Home || Registry->registered());
+}
+
+bool RelayDaemon::servesItself() const {
+  return !State.hasReachableHome() || LinkSecret.empty() ||
+         (Home && !handsOver(LoopTimers::now()));
+}
+
+void RelayDaemon::noteSheetVersion(std::uint64_t Version) {
+  NewestSheetVersion = std::max(NewestSheetVersion, Version);
+  if (sheetBehind() && !FetchingSheet)
+    fetchSheet();
+}
+
+bool RelayDaemon::sheetBehind() const {
+  return State.table() == nullptr ||
+         State.table()->sheet().Version < NewestSheetVersion;
+}
+
+void RelayDaemon::fetchSheet() {
+  FetchTimer.reset();
+  const std::vector<ServerRef> Homes = State.homes();
+  if (FetchingSheet || Homes.empty() || LinkSecret.empty())
+    return;
+  FetchingSheet = true;
+  const ServerRef &Asked = Homes[SheetFetches % Homes.size()];
+  ForwardedRequest Call;
+  Call.Method = "GET";
+  Call.Target = LinkSheetTarget;
+  Call.Host = Asked->Info.Address;
+  Call.RequestId = absl::StrCat("sheet-", ++SheetFetches);
+  Call.Headers =
+      absl::StrCat(Environment.Headers.RequestId, ": ", Call.RequestId, "\r\n");
+  LinkRequestInfo Info;
+  Info.WantsSheet = true;
+  Info.SheetVersion =
+      State.table() != nullptr ? State.table()->sheet().Version : 0;
+  HttpExchange Exchange;
+  Exchange.Bytes = encodeLinkRequest(Call, Environment.Headers, Info,
+                                     SheetFetchTimeout, LinkSecret);
+  Exchange.Deadline = LoopTimers::now() + SheetFetchTimeout;
+  Backends.send(Asked, std::move(Exchange),
+                [this](const HttpExchangeResult &End) { onSheetFetched(End); });
+}
+
+void RelayDaemon::onSheetFetched(const HttpExchangeResult &End) {
+  if (End.Result == AttemptResult::Answered) {
+    const auto Info = decodeLinkResponse(
+        *End.Response, absl::StrCat("sheet-", SheetFetches), LinkSecret);
+    if (Info && !Info->TryElsewhere && !End.Response->body().empty()) {
+      adoptSheet(End.Response->body(), 0);
+      // The store should have told this instance by now.
+      if (Active && SheetFromHomeSince == absl::InfiniteFuture())
+        SheetFromHomeSince = LoopTimers::now();
+    }
+    if (Info)
+      noteHome(*Info);
+  }
+  FetchingSheet = false;
+  const Duration Interval = sheetBehind() ? SheetFetchRetryDelay
+                            : Home        ? HomePollInterval
+                                          : AskerPollInterval;
+  FetchTimer = Timers.at(LoopTimers::now() + Interval,
+                         [this](TimePoint) { fetchSheet(); });
 }
 
 void RelayDaemon::updateSheet(const std::vector<StoreItem> &Items) {
@@ -251,8 +448,30 @@
       Newest = &Item;
   if (Newest == nullptr)
     return;
-  auto Decoded =
-      capture([&] { return Environment.DecodeSheet(Newest->Value); });
+  adoptSheet(Newest->Value, Newest->Revision);
+  SheetFromHomeSince = absl::InfiniteFuture();
+}
+
+bool RelayDaemon::storeLost(TimePoint Now) const {
+  if (!Active)
+    return false;
+  const TimePoint Since =
+      std::min({SheetFromHomeSince, SheetStoreLostSince, ServerStoreLostSince});
+  return Now - Since >= StoreLostDelay;
+}
+
+bool RelayDaemon::handsOver(TimePoint Now) const {
+  return storeLost(Now) && Now - HomeWithStoreSeenAt < HomeSightingMaxAge;
+}
+
+void RelayDaemon::noteHome(const LinkResponseInfo &Info) {
+  if (!Info.StoreLost && Info.SheetVersion != 0)
+    HomeWithStoreSeenAt = LoopTimers::now();
+  noteSheetVersion(Info.SheetVersion);
+}
+
+void RelayDaemon::adoptSheet(absl::string_view Text, std::uint64_t Revision) {
+  auto Decoded = capture([&] { return Environment.DecodeSheet(Text); });
   if (auto *Fault = std::get_if<Error>(&Decoded)) {
     logEvent(LogLevel::Error, "sheet_refused", {{"reason", Fault->text()}});
     return;
@@ -262,9 +481,11 @@
   const std::size_t Routes = Sheet.Routes.size();
   const bool Adopted = State.updateSheet(std::move(Sheet), LoopTimers::now());
   logEvent(LogLevel::Info, Adopted ? "sheet_taken" : "sheet_not_newer",
-           {{"version", Version},
-            {"routes", Routes},
-            {"revision", Newest->Revision}});
+           {{"version", Version}, {"routes", Routes}, {"revision", Revision}});
+  if (!Adopted)
+    return;
+  SheetText = std::string(Text);
+  NewestSheetVersion = std::max(NewestSheetVersion, Version);
 }
 
 void RelayDaemon::applyServerChanges(const std::vector<FeedChange> &Changes) {
@@ -292,12 +513,16 @@
 }
 
 bool RelayDaemon::ready() const {
-  return State.table() != nullptr && ServerWatcher->hasSnapshot() &&
-         !shuttingDown();
+  if (shuttingDown())
+    return false;
+  return servesItself() ? canServe() : State.table() != nullptr;
 }
 
 void RelayDaemon::onReadiness(const std::shared_ptr<CallerSession> &Prober) {
-  sendLocalResponse(*Prober, ready() ? 200 : 503, absl::ZeroDuration());
+  const bool KeepOpen = Prober->mayKeepOpen();
+  Prober->respond(
+      encodeStatusResponse(ready() ? 200 : 503, absl::ZeroDuration(), KeepOpen),
+      KeepOpen);
 }
 
 static Duration ageOf(TimePoint Since, TimePoint Now) {
@@ -326,10 +551,25 @@
       KeepOpen);
 }
 
-void RelayDaemon::sendLocalResponse(CallerSession &Caller, unsigned Status,
-                                    Duration RetryAfter) {
+void RelayDaemon::respond(CallerSession &Caller, const std::string &RequestId,
+                          std::string Bytes, bool KeepOpen, bool TryElsewhere) {
+  if (Caller.uses(LinkHandlers)) {
+    LinkResponseInfo Info;
+    Info.SheetVersion =
+        State.table() != nullptr ? State.table()->sheet().Version : 0;
+    Info.StoreLost = storeLost(LoopTimers::now());
+    Info.TryElsewhere = TryElsewhere;
+    Bytes = addLinkHeader(std::move(Bytes), RequestId, Info, LinkSecret);
+  }
+  Caller.respond(std::move(Bytes), KeepOpen);
+}
+
+void RelayDaemon::sendLocalResponse(CallerSession &Caller,
+                                    const std::string &RequestId,
+                                    unsigned Status, Duration RetryAfter) {
   const bool KeepOpen = Caller.mayKeepOpen();
-  Caller.respond(encodeStatusResponse(Status, RetryAfter, KeepOpen), KeepOpen);
+  respond(Caller, RequestId, encodeStatusResponse(Status, RetryAfter, KeepOpen),
+          KeepOpen);
 }
 
 static unsigned statusOf(RejectReason Reason) {
@@ -363,26 +603,138 @@
        {"sheet", State.table() != nullptr ? State.table()->sheet().Version : 0},
        {"retry_after_ms", absl::ToInt64Milliseconds(RetryAfter)}});
   Metrics.requestRejected(Reason);
-  sendLocalResponse(Caller, statusOf(Reason), RetryAfter);
+  sendLocalResponse(Caller, Call.RequestId, statusOf(Reason), RetryAfter);
 }
 
 void RelayDaemon::onRequest(const std::shared_ptr<CallerSession> &Caller,
                             HttpRequest Request) {
   const TimePoint Now = LoopTimers::now();
   ForwardedRequest Call = decodeRequest(Request, Environment.Headers, Now);
-  const std::shared_ptr<const RouteTable> Table = State.table();
-  if (Table == nullptr) {
+  Call.TransitTime = Caller->transitTime();
+  if (Now >= Shutdown.RejectNewTime) {
+    reject(*Caller, Call, RejectReason::Stopping, Now);
+    return;
+  }
+  if (!servesItself()) {
+    forward(Caller, std::move(Call));
+    return;
+  }
+  if (!Active && !LinkSecret.empty()) {
+    // No home can be reached: this instance becomes one.
+    Registry->requireRegistration();
+    activate();
+  }
+  if (State.table() == nullptr) {
     reject(*Caller, Call, RejectReason::NoSheet, Now);
     return;
   }
-  if (!ServerWatcher->hasSnapshot()) {
+  if (!canServe()) {
     reject(*Caller, Call, RejectReason::NoServers, Now);
     return;
   }
-  if (Now >= Shutdown.RejectNewTime) {
-    reject(*Caller, Call, RejectReason::Stopping, Now);
+  serve(Caller, std::move(Call), LinkRequestInfo());
+}
+
+void RelayDaemon::rejectLinkRequest(CallerSession &Asker,
+                                    const std::string &RequestId,
+                                    absl::string_view Reason) {
+  logEvent(LogLevel::Info, "link_request_passed_back",
+           {{"request", RequestId}, {"reason", Reason}});
+  const bool KeepOpen = Asker.mayKeepOpen();
+  respond(Asker, RequestId,
+          encodeStatusResponse(503, ShutdownRetryAfter, KeepOpen), KeepOpen,
+          true);
+}
+
+void RelayDaemon::onLinkRequest(const std::shared_ptr<CallerSession> &Asker,
+                                HttpRequest Request) {
+  const TimePoint Now = LoopTimers::now();
+  const std::optional<LinkRequestInfo> Info =
+      decodeLinkRequest(Request, Environment.Headers, LinkSecret);
+  if (!Info) {
+    logEvent(LogLevel::Warning, "link_request_refused",
+             {{"reason", "not signed with the secret of this tier"}});
+    Asker->respond(encodeStatusResponse(403, absl::ZeroDuration(), false),
+                   false);
     return;
   }
+  ForwardedRequest Call =
+      decodeRequest(Request, Environment.Headers, Now - Info->Age);
+  Call.TransitTime = Info->TransitTime + Asker->transitTime();
+  if (Call.RemainingTime)
+    *Call.RemainingTime += Info->Age;
+  // An asker that was left waiting has gone to another home and closed the
+  // connection. The event loop sees that once it has polled again, which it
+  // does between two posted handlers.
+  asio::post(Loop, [this, Asker, Call = std::move(Call),
+                    Given = *Info]() mutable {
+    asio::post(Loop, [this, Asker, Call = std::move(Call), Given]() mutable {
+      serveLinkRequest(Asker, std::move(Call), Given);
+    });
+  });
+}
+
+void RelayDaemon::serveLinkRequest(const std::shared_ptr<CallerSession> &Asker,
+                                   ForwardedRequest Call,
+                                   const LinkRequestInfo &Info) {
+  if (!Asker->serving())
+    return;
+  if (Asker->closedByPeer()) {
+    Asker->close();
+    return;
+  }
+  if (Info.WantsSheet && State.table() != nullptr) {
+    const bool KeepOpen = Asker->mayKeepOpen();
+    const bool Newer = State.table()->sheet().Version > Info.SheetVersion;
+    respond(*Asker, Call.RequestId,
+            encodeLinkSheet(Newer ? SheetText : "", KeepOpen), KeepOpen);
+    return;
+  }
+  if (shuttingDown()) {
+    rejectLinkRequest(*Asker, Call.RequestId, "stopping");
+    return;
+  }
+  if (!Active) {
+    Registry->requireRegistration();
+    activate();
+  }
+  if (Info.WantsSheet || !canServe()) {
+    rejectLinkRequest(*Asker, Call.RequestId, "not ready");
+    return;
+  }
+  if (!Info.PassedBack && handsOver(LoopTimers::now())) {
+    rejectLinkRequest(*Asker, Call.RequestId, "store lost");
+    return;
+  }
+  if (State.table()->sheet().Version < Info.SheetVersion) {
+    noteSheetVersion(Info.SheetVersion);
+    rejectLinkRequest(*Asker, Call.RequestId, "older sheet");
+    return;
+  }
+  Asker->acknowledge();
+  serve(Asker, std::move(Call), Info);
+}
+
+void RelayDaemon::forward(const std::shared_ptr<CallerSession> &Caller,
+                          ForwardedRequest Call) {
+  const std::shared_ptr<const RouteTable> Table = State.table();
+  const Route *MatchedRoute =
+      Table != nullptr ? Table->find(Call.Host, Call.Target) : nullptr;
+  const Duration Timeout =
+      MatchedRoute != nullptr ? MatchedRoute->Timeout : SheetFetchTimeout;
+  RelayPlan Plan = State.planForward(
+      MatchedRoute, Call.ArrivalTime,
+      Call.RemainingTime.value_or(Timeout + LinkTimeoutMargin));
+  startSession(Caller,
+               RelaySessionContext{Backends, Timers, Metrics, LinkCodec,
+                                   Environment.Headers.RequestId},
+               std::move(Call), Table, std::move(Plan));
+}
+
+void RelayDaemon::serve(const std::shared_ptr<CallerSession> &Caller,
+                        ForwardedRequest Call, const LinkRequestInfo &Info) {
+  const TimePoint Now = LoopTimers::now();
+  const std::shared_ptr<const RouteTable> Table = State.table();
   if (Call.Host.empty()) {
     reject(*Caller, Call, RejectReason::NoHost, Now);
     return;
@@ -393,14 +745,26 @@
     return;
   }
   RelayPlan Plan = State.plan(
-      *MatchedRoute, Now, Call.RemainingTime.value_or(MatchedRoute->Timeout));
+      *MatchedRoute, Call.ArrivalTime,
+      Call.RemainingTime.value_or(MatchedRoute->Timeout), Call.TransitTime);
+  Plan.Repeated = Info.Repeated;
+  startSession(Caller,
+               RelaySessionContext{Backends, Timers, Metrics, BackendCodec,
+                                   Environment.Headers.RequestId},
+               std::move(Call), Table, std::move(Plan));
+}
+
+void RelayDaemon::startSession(const std::shared_ptr<CallerSession> &Caller,
+                               RelaySessionContext Context,
+                               ForwardedRequest Call,
+                               std::shared_ptr<const RouteTable> Table,
+                               RelayPlan Plan) {
   Plan.Deadline = std::min(Plan.Deadline, Shutdown.LastResponseTime);
   Plan.ObjectiveDeadline = std::min(Plan.ObjectiveDeadline, Plan.Deadline);
   std::weak_ptr<CallerSession> WeakCaller = Caller;
   CallerSession *CallerKey = Caller.get();
   auto Session = std::make_shared<RelaySession>(
-      RelaySessionContext{Backends, Timers, Metrics, Environment.Headers},
-      std::move(Call), Table, std::move(Plan),
+      Context, std::move(Call), std::move(Table), std::move(Plan),
       [this, WeakCaller, CallerKey](const RelayResult &Verdict) {
         auto Found = ActiveRequests.find(CallerKey);
         if (Found == ActiveRequests.end())
@@ -492,10 +856,11 @@
                            const RelayResult &Verdict) {
   recordRequestEnd(Session, Verdict);
   const bool KeepOpen = Caller.mayKeepOpen();
-  Caller.respond(
-      encodeResponse(Verdict, Session.request().plan().MatchedRoute->MaxRecords,
-                     Environment.Headers, Caller.isHeadRequest(), KeepOpen),
-      KeepOpen);
+  respond(Caller, Session.call().RequestId,
+          encodeResponse(Verdict,
+                         Session.request().plan().MatchedRoute->MaxRecords,
+                         Environment.Headers, Caller.isHeadRequest(), KeepOpen),
+          KeepOpen);
 }
 
 void RelayDaemon::waitForSignal() {
@@ -528,7 +893,8 @@
       if (CallerSessions.count(Caller) != 0)
         Caller->closeIfIdle();
   }
-  const bool Drained = Now >= Shutdown.CloseIdleTime && CallerSessions.empty();
+  const bool Drained = Now >= Shutdown.CloseIdleTime &&
+                       CallerSessions.empty() && ActiveRequests.empty();
   if (Drained || Now >= Shutdown.ExitTime) {
     logEvent(LogLevel::Info, "stopped",
              {{"callers", CallerSessions.size()},
@@ -546,6 +912,8 @@
            {{"zone", Settings.Zone}, {"listen", Settings.CallerListen}});
   accept(CallerListener, RequestHandlers, true);
   accept(ReadinessListener, ReadinessHandlers, false);
+  if (LinkListener.is_open())
+    accept(LinkListener, LinkHandlers, false);
   if (MetricsListener.is_open())
     accept(MetricsListener, MetricsHandlers, false);
   waitForSignal();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -2,10 +2,12 @@
 #define QUETZALLEAD_RELAY_RELAYDAEMON_H
 
 #include "core/relay/RelayState.h"
+#include "relay/AttemptCodec.h"
 #include "relay/BackendClient.h"
 #include "relay/CallerSession.h"
 #include "relay/Deployment.h"
 #include "relay/InstanceRegistry.h"
+#include "relay/LinkMessages.h"
 #include "relay/PrefixWatcher.h"
 #include "relay/RejectReason.h"
 #include "relay/RelayMetrics.h"
@@ -53,12 +55,54 @@
   /// Rejects \p Call before it is matched to a route.
   void reject(CallerSession &Caller, const ForwardedRequest &Call,
               RejectReason Reason, TimePoint Now);
+  /// Serves a request from this instance, which must be ready to.
+  void serve(const std::shared_ptr<CallerSession> &Caller,
+             ForwardedRequest Call, const LinkRequestInfo &Info);
+  /// Forwards a request of a caller to a home.
+  void forward(const std::shared_ptr<CallerSession> &Caller,
+               ForwardedRequest Call);
+  /// Performs \p Plan and responds to the caller with its result.
+  void startSession(const std::shared_ptr<CallerSession> &Caller,
+                    RelaySessionContext Context, ForwardedRequest Call,
+                    std::shared_ptr<const RouteTable> Table, RelayPlan Plan);
+  /// Handles a request of another instance, for which this one is a home.
+  void onLinkRequest(const std::shared_ptr<CallerSession> &Asker,
+                     HttpRequest Request);
+  void serveLinkRequest(const std::shared_ptr<CallerSession> &Asker,
+                        ForwardedRequest Call, const LinkRequestInfo &Info);
+  /// Tells the asking instance that this one has not run the request.
+  void rejectLinkRequest(CallerSession &Asker, const std::string &RequestId,
+                         absl::string_view Reason);
+  void onDirectory(const InstanceDirectory &Directory);
+  /// Starts to follow the sheet and the backend servers in the store.
+  void activate();
+  /// Whether requests of callers are served from this instance.
+  bool servesItself() const;
+  /// Whether this instance can serve requests.
+  bool canServe() const;
+  /// Asks a home for its sheet if that is newer, and the next one after a
+  /// while.
+  void fetchSheet();
+  void onSheetFetched(const HttpExchangeResult &End);
+  void adoptSheet(absl::string_view Text, std::uint64_t Revision);
+  /// Records what a home says of itself.
+  void noteHome(const LinkResponseInfo &Info);
+  /// Whether this instance cannot follow the sheet and the servers at present.
+  bool storeLost(TimePoint Now) const;
+  /// Whether other homes should serve in place of this one.
+  bool handsOver(TimePoint Now) const;
+  void noteSheetVersion(std::uint64_t Version);
+  /// Whether a newer sheet is known to exist, or none has been read.
+  bool sheetBehind() const;
+  /// Sends an encoded response to a caller or to an asking instance.
+  void respond(CallerSession &Caller, const std::string &RequestId,
+               std::string Bytes, bool KeepOpen, bool TryElsewhere = false);
   void onReadiness(const std::shared_ptr<CallerSession> &Prober);
   void onScrape(const std::shared_ptr<CallerSession> &Scraper);
   RelaySnapshot snapshot(TimePoint Now) const;
   /// Sends a response that this daemon generates itself.
-  void sendLocalResponse(CallerSession &Caller, unsigned Status,
-                         Duration RetryAfter);
+  void sendLocalResponse(CallerSession &Caller, const std::string &RequestId,
+                         unsigned Status, Duration RetryAfter);
   void onResult(CallerSession &Caller, const RelaySession &Session,
                 const RelayResult &Verdict);
   /// Logs a completed request and updates the metrics.
@@ -88,13 +132,36 @@
   std::unique_ptr<PrefixWatcher> SheetWatcher;
   std::unique_ptr<PrefixWatcher> ServerWatcher;
   std::unique_ptr<InstanceRegistry> Registry;
+  AttemptCodec BackendCodec;
+  AttemptCodec LinkCodec;
+  std::string LinkSecret;
+  /// This instance is among the homes of its zone.
+  bool Home = false;
+  /// The sheet and the servers are followed in the store.
+  bool Active = false;
+  /// The sheet in force as it was read.
+  std::string SheetText;
+  /// Highest sheet version that this instance or a home that it asked has had.
+  std::uint64_t NewestSheetVersion = 0;
+  bool FetchingSheet = false;
+  /// Since when the sheet in force is one that the store has not returned yet.
+  TimePoint SheetFromHomeSince = absl::InfiniteFuture();
+  /// Since when the store has not responded; infinite if it does.
+  TimePoint SheetStoreLostSince = absl::InfiniteFuture();
+  TimePoint ServerStoreLostSince = absl::InfiniteFuture();
+  /// When a home last said that it has the store.
+  TimePoint HomeWithStoreSeenAt = absl::InfinitePast();
+  std::size_t SheetFetches = 0;
+  std::shared_ptr<LoopTimers::Subscription> FetchTimer;
   Acceptor CallerListener;
   Acceptor ReadinessListener;
   Acceptor MetricsListener;
+  Acceptor LinkListener;
   boost::asio::signal_set Signals;
   CallerHandlers RequestHandlers;
   CallerHandlers ReadinessHandlers;
   CallerHandlers MetricsHandlers;
+  CallerHandlers LinkHandlers;
   std::set<CallerSession *> CallerSessions;
   std::map<CallerSession *, std::shared_ptr<RelaySession>> ActiveRequests;
   TimePoint StartedAt = absl::InfinitePast();
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -72,9 +72,9 @@
     Call.RemainingTime = absl::Milliseconds(Millis);
   Call.HasBody = Request.count(http::field::content_length) > 0 ||
                  Request.count(http::field::transfer_encoding) > 0;
-  Call.Headers =
-      endToEndHeaders(Request, {Names.RemainingTime, Names.TargetIncarnation,
-                                "content-length", "expect", "host"});
+  Call.Headers = endToEndHeaders(Request, {Names.RemainingTime,
+                                           Names.TargetIncarnation, LinkHeader,
+                                           "content-length", "expect", "host"});
   Call.Body = std::move(Request.body());
   return Call;
 }
@@ -120,17 +120,22 @@
     Out.Result = AttemptResult::Shed;
     return Out;
   }
+  Out.Response = decodeResponse(Response, Names);
+  return Out;
+}
+
+std::shared_ptr<BackendResponse> decodeResponse(HttpResponse &Response,
+                                                const HeaderNames &Names) {
   auto Answer = std::make_shared<BackendResponse>();
   Answer->Status = Response.result_int();
   Answer->Reason = std::string(view(Response.reason()));
-  Answer->Headers = endToEndHeaders(Response, {"content-length"});
+  Answer->Headers = endToEndHeaders(Response, {"content-length", LinkHeader});
   std::uint64_t Length = 0;
   if (absl::SimpleAtoi(view(Response[http::field::content_length]), &Length))
     Answer->HeadContentLength = Length;
   Answer->Stamp = std::string(view(Response[Names.Stamp]));
   Answer->Body = std::move(Response.body());
-  Out.Response = std::move(Answer);
-  return Out;
+  return Answer;
 }
 
 static std::string statusLine(unsigned Status, absl::string_view Reason) {
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -15,6 +15,10 @@
 using HttpRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
 
+/// Header of requests and responses between instances. It never leaves the
+/// tier: headers of this name from callers and backend servers are dropped.
+inline constexpr char LinkHeader[] = "Quetzallead-Link";
+
 /// Extracts from \p Request what is forwarded to backend servers. Moves the
 /// body out of \p Request.
 ForwardedRequest decodeRequest(HttpRequest &Request, const HeaderNames &Names,
@@ -31,6 +35,11 @@
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
                                 const HeaderNames &Names);
 
+/// Extracts from \p Response what is forwarded to the caller. Moves the body
+/// out of \p Response.
+std::shared_ptr<BackendResponse> decodeResponse(HttpResponse &Response,
+                                                const HeaderNames &Names);
+
 /// Encodes the response to a caller. \p MaxRecords limits the records in the
 /// response to a survey.
 std::string encodeResponse(const RelayResult &Verdict, std::size_t MaxRecords,
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -1,4 +1,5 @@
 #include "relay/RelaySession.h"
+#include "relay/AttemptCodec.h"
 #include "relay/RelayMetrics.h"
 #include "runtime/Logger.h"
 
@@ -59,17 +60,26 @@
 
 void RelaySession::send(const SendRelayAttempt &Action) {
   HttpExchange Exchange;
-  Exchange.Bytes = encodeAttempt(Call, Context.Names, Action.Server->Info.Id,
-                                 Action.TimeLeft);
+  Exchange.Bytes = Context.Codec.Encode(
+      Call,
+      AttemptToEncode{*Action.Server, Action.TimeLeft,
+                      Request.mayRepeat(Action.Attempt), Request.passedBack()});
   Exchange.HeadRequest = Call.Method == "HEAD";
   Exchange.Deadline = LoopTimers::now() + Action.TimeLeft + AttemptGracePeriod;
-  Exchange.EchoHeader = Context.Names.RequestId;
+  Exchange.EchoHeader = Context.EchoHeader;
   Exchange.EchoValue = Call.RequestId;
   const std::size_t Attempt = Action.Attempt;
   Connections.resize(std::max(Connections.size(), Attempt + 1));
   if (Action.Cause != AttemptCause::First)
     logAdditionalAttempt(Action, LoopTimers::now());
   auto Self = shared_from_this();
+  if (Context.Codec.Acknowledged)
+    Exchange.OnInformational = [Weak = weak_from_this(), Attempt] {
+      if (auto Session = Weak.lock()) {
+        Session->Request.onAcknowledged(Attempt);
+        Session->updateTimer();
+      }
+    };
   Connections[Attempt] =
       Context.Backends.send(Action.Server, std::move(Exchange),
                             [Self, Attempt](const HttpExchangeResult &End) {
@@ -81,7 +91,7 @@
                                 const HttpExchangeResult &ExchangeEnd) {
   Connections[Attempt] = nullptr;
   const TimePoint Now = LoopTimers::now();
-  const AttemptEnd End = decodeExchangeResult(ExchangeEnd, Context.Names);
+  const AttemptEnd End = Context.Codec.Decode(Call, ExchangeEnd);
   Context.Metrics.attemptEnded(Request.serviceOf(Attempt),
                                Request.causeOf(Attempt), End.Result,
                                Now - Request.sentAt(Attempt));
--- a/src/relay/RelaySession.h
+++ b/src/relay/RelaySession.h
@@ -20,7 +20,7 @@
   /// Called once, unless the caller disconnects first.
   using Completion = std::function<void(const RelayResult &)>;
 
-  /// \p Table owns the route that \p Plan refers to.
+  /// \p Table owns the route that \p Plan refers to, unless the plan does.
   RelaySession(RelaySessionContext Context, ForwardedRequest Call,
                std::shared_ptr<const RouteTable> Table, RelayPlan Plan,
                Completion OnDone);
@@ -30,7 +30,11 @@
   void onCallerDisconnected();
   const ForwardedRequest &call() const { return Call; }
   const RelayRequest &request() const { return Request; }
-  std::uint64_t sheetVersion() const { return Table->sheet().Version; }
+  /// Version of the sheet in force when the request arrived; 0 if there was
+  /// none.
+  std::uint64_t sheetVersion() const {
+    return Table != nullptr ? Table->sheet().Version : 0;
+  }
 
 private:
   void perform(RelayActions Actions);
--- a/src/relay/RelaySessionContext.h
+++ b/src/relay/RelaySessionContext.h
@@ -1,19 +1,23 @@
 #ifndef QUETZALLEAD_RELAY_RELAYSESSIONCONTEXT_H
 #define QUETZALLEAD_RELAY_RELAYSESSIONCONTEXT_H
 
+#include <string>
+
 namespace quetzallead {
 
 class BackendClient;
 class LoopTimers;
 class RelayMetrics;
-struct HeaderNames;
+struct AttemptCodec;
 
 /// Objects shared by all sessions of a relay, which must outlive them.
 struct RelaySessionContext {
   BackendClient &Backends;
   LoopTimers &Timers;
   RelayMetrics &Metrics;
-  const HeaderNames &Names;
+  const AttemptCodec &Codec;
+  /// Header by which a response is matched to its request.
+  const std::string &EchoHeader;
 };
 
 } // namespace quetzallead
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -10,6 +10,8 @@
 static constexpr Duration MaxDuration = absl::Hours(1);
 static constexpr double MaxExtraLoadBase = 1e6;
 static constexpr double MaxLogLinesPerSecond = 1e5;
+static constexpr double MaxResource = 1e9;
+static constexpr double MaxHomesPerZone = 1000;
 
 static RelaySettings readSettings(JsonReader &Reader) {
   RelaySettings S;
@@ -28,6 +30,23 @@
   S.LeavingTime = Store.milliseconds("leaving_time_ms", absl::ZeroDuration(),
                                      MaxDuration, S.LeavingTime);
   Store.finish();
+  if (Reader.has("link_listen"))
+    S.LinkListen = Reader.address("link_listen");
+  JsonReader Machine = Reader.optionalObject("machine");
+  S.Machine.Cores = Machine.number("cores", 0, MaxResource, S.Machine.Cores);
+  S.Machine.MemoryMb =
+      Machine.number("memory_mb", 0, MaxResource, S.Machine.MemoryMb);
+  S.Machine.Descriptors =
+      Machine.number("descriptors", 0, MaxResource, S.Machine.Descriptors);
+  S.Machine.LinkMbps =
+      Machine.number("link_mbps", 0, MaxResource, S.Machine.LinkMbps);
+  Machine.finish();
+  JsonReader Homes = Reader.optionalObject("homes");
+  S.Homes.PerZone = static_cast<int>(
+      Homes.number("per_zone", 1, MaxHomesPerZone, S.Homes.PerZone));
+  S.Homes.SparesPerZone = static_cast<int>(Homes.number(
+      "spares_per_zone", 0, MaxHomesPerZone, S.Homes.SparesPerZone));
+  Homes.finish();
   JsonReader Stop = Reader.optionalObject("stop");
   S.StopGrace = absl::Seconds(Stop.number("grace_s", 0,
                                           absl::ToDoubleSeconds(MaxDuration),
@@ -79,6 +98,14 @@
   Out["readiness_listen"] = S.ReadinessListen;
   if (!S.MetricsListen.empty())
     Out["metrics_listen"] = S.MetricsListen;
+  if (!S.LinkListen.empty())
+    Out["link_listen"] = S.LinkListen;
+  Out["machine"]["cores"] = S.Machine.Cores;
+  Out["machine"]["memory_mb"] = S.Machine.MemoryMb;
+  Out["machine"]["descriptors"] = S.Machine.Descriptors;
+  Out["machine"]["link_mbps"] = S.Machine.LinkMbps;
+  Out["homes"]["per_zone"] = S.Homes.PerZone;
+  Out["homes"]["spares_per_zone"] = S.Homes.SparesPerZone;
   Out["store"]["address"] = S.StoreAddress;
   Out["store"]["timeout_ms"] = absl::ToDoubleMilliseconds(S.StoreTimeout);
   Out["store"]["return_time_ms"] = absl::ToDoubleMilliseconds(S.ReturnTime);
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -2,6 +2,7 @@
 #define QUETZALLEAD_RELAY_RELAYSETTINGS_H
 
 #include "core/relay/ExtraLoadBudget.h"
+#include "core/relay/HomeSelection.h"
 #include "quetzallead/Error.h"
 #include "quetzallead/Time.h"
 #include "runtime/Logger.h"
@@ -17,6 +18,11 @@
   std::string ReadinessListen;
   /// Address at which metrics are scraped; empty to disable metrics.
   std::string MetricsListen;
+  /// Address for requests from other instances; empty to serve every request of
+  /// a caller from this instance.
+  std::string LinkListen;
+  MachineResources Machine;
+  HomePolicy Homes;
   /// "ip:port" of the platform's store.
   std::string StoreAddress;
   /// Timeout of a store call, not counting the wait time of a watch.
--- a/src/relay/RevisionedStore.h
+++ b/src/relay/RevisionedStore.h
@@ -30,6 +30,9 @@
   virtual void endLease(std::uint64_t Lease, ReplyCallback Done) = 0;
   virtual void put(const std::string &Key, const std::string &Value,
                    std::uint64_t Lease, ReplyCallback Done) = 0;
+  /// Writes a key without a lease; ends with Conflict if it exists.
+  virtual void create(const std::string &Key, const std::string &Value,
+                      ReplyCallback Done) = 0;
 };
 
 } // namespace quetzallead
--- a/src/relay/SocketOptions.cpp
+++ b/src/relay/SocketOptions.cpp
@@ -34,4 +34,13 @@
            {{"effect", "unresponsive peers may be detected late"}});
 }
 
+Duration roundTripTime(asio::ip::tcp::socket &Socket) {
+  tcp_info Info{};
+  socklen_t Length = sizeof(Info);
+  if (getsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_INFO, &Info,
+                 &Length) != 0)
+    return absl::ZeroDuration();
+  return absl::Microseconds(Info.tcpi_rtt);
+}
+
 } // namespace quetzallead
--- a/src/relay/SocketOptions.h
+++ b/src/relay/SocketOptions.h
@@ -13,6 +13,10 @@
 void setSocketOptions(boost::asio::ip::tcp::socket &Socket,
                       Duration UnackedTimeout, Duration KeepAliveInterval);
 
+/// Round-trip time to the peer of \p Socket as the kernel has measured it,
+/// beginning with the set-up of the connection; zero if unknown.
+Duration roundTripTime(boost::asio::ip::tcp::socket &Socket);
+
 } // namespace quetzallead
 
 #endif // QUETZALLEAD_RELAY_SOCKETOPTIONS_H
--- /dev/null
+++ b/tests/relay/LinkMessagesTest.cpp
@@ -0,0 +1,152 @@
+#include "relay/LinkMessages.h"
+#include <boost/beast/http/parser.hpp>
+#include <gtest/gtest.h>
+
+using namespace quetzallead;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr char Secret[] = "0123456789abcdef";
+
+HeaderNames names() {
+  HeaderNames Names;
+  Names.RequestId = "X-Id";
+  Names.RemainingTime = "X-Left";
+  Names.TargetIncarnation = "X-Target";
+  Names.NotExecuted = "X-Not-Run";
+  Names.Stamp = "X-Stamp";
+  Names.PartStamps = "X-Stamps";
+  Names.MissingParts = "X-Missing";
+  Names.Load = "X-Load";
+  return Names;
+}
+
+ForwardedRequest call() {
+  ForwardedRequest Call;
+  Call.Method = "POST";
+  Call.Target = "/p/1?q=2";
+  Call.Host = "h";
+  Call.RequestId = "r1";
+  Call.Headers = "X-Id: r1\r\nX-Other: 5\r\n";
+  Call.Body = "body";
+  Call.HasBody = true;
+  return Call;
+}
+
+HttpRequest parseRequest(const std::string &Bytes) {
+  http::request_parser<http::string_body> Parser;
+  Parser.eager(true);
+  boost::system::error_code EC;
+  Parser.put(boost::asio::buffer(Bytes), EC);
+  EXPECT_FALSE(EC) << EC.message();
+  EXPECT_TRUE(Parser.is_done());
+  return Parser.release();
+}
+
+HttpResponse parseResponse(const std::string &Bytes) {
+  http::response_parser<http::string_body> Parser;
+  Parser.eager(true);
+  boost::system::error_code EC;
+  Parser.put(boost::asio::buffer(Bytes), EC);
+  EXPECT_FALSE(EC) << EC.message();
+  return Parser.release();
+}
+
+std::string encodeCall(const std::string &Key = Secret) {
+  LinkRequestInfo Info;
+  Info.Age = absl::Microseconds(1500);
+  Info.TransitTime = absl::Milliseconds(6);
+  Info.SheetVersion = 9;
+  Info.Repeated = true;
+  return encodeLinkRequest(call(), names(), Info, absl::Milliseconds(250), Key);
+}
+
+} // namespace
+
+TEST(LinkMessagesTest, RequestReachesTheHomeUnchanged) {
+  HttpRequest Request = parseRequest(encodeCall());
+  const auto Info = decodeLinkRequest(Request, names(), Secret);
+  ASSERT_TRUE(Info);
+  EXPECT_EQ(Info->Age, absl::Microseconds(1500));
+  EXPECT_EQ(Info->TransitTime, absl::Milliseconds(6));
+  EXPECT_EQ(Info->SheetVersion, 9u);
+  EXPECT_TRUE(Info->Repeated);
+  EXPECT_FALSE(Info->WantsSheet);
+  const ForwardedRequest Call =
+      decodeRequest(Request, names(), absl::UnixEpoch());
+  EXPECT_EQ(Call.Method, "POST");
+  EXPECT_EQ(Call.Target, "/p/1?q=2");
+  EXPECT_EQ(Call.Body, "body");
+  EXPECT_EQ(Call.Headers, call().Headers);
+  EXPECT_EQ(Call.RemainingTime, absl::Milliseconds(250));
+}
+
+TEST(LinkMessagesTest, RefusesOtherSecretsAndChangedRequests) {
+  const std::string Bytes = encodeCall();
+  auto Accepted = [](const std::string &Text, const std::string &Key) {
+    return decodeLinkRequest(parseRequest(Text), names(), Key).has_value();
+  };
+  EXPECT_TRUE(Accepted(Bytes, Secret));
+  EXPECT_FALSE(Accepted(Bytes, "other"));
+  EXPECT_FALSE(Accepted(Bytes, ""));
+  EXPECT_FALSE(Accepted(encodeCall(""), ""));
+  struct Change {
+    const char *From;
+    const char *To;
+  };
+  for (const Change &C :
+       {Change{"/p/1", "/p/2"}, Change{"POST", "GETS"}, Change{"body", "BODY"},
+        Change{"X-Left: 250", "X-Left: 251"}, Change{"X-Id: r1", "X-Id: r2"},
+        Change{"repeated=1", "repeated=0"}, Change{"sheet=9", "sheet=8"}}) {
+    std::string Changed = Bytes;
+    Changed.replace(Changed.find(C.From), std::string(C.From).size(), C.To);
+    EXPECT_FALSE(Accepted(Changed, Secret)) << C.To;
+  }
+}
+
+TEST(LinkMessagesTest, RequestWithoutLinkHeaderIsRefused) {
+  const HttpRequest Request =
+      parseRequest("GET / HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n\r\n");
+  EXPECT_FALSE(decodeLinkRequest(Request, names(), Secret));
+}
+
+TEST(LinkMessagesTest, DropsTheLinkHeaderOfACaller) {
+  HttpRequest Request =
+      parseRequest("GET / HTTP/1.1\r\nHost: h\r\nquetzallead-link: "
+                   "sheet=1;mac=0\r\nX-Id: r1\r\n\r\n");
+  EXPECT_EQ(decodeRequest(Request, names(), absl::UnixEpoch()).Headers,
+            "X-Id: r1\r\n");
+}
+
+TEST(LinkMessagesTest, ResponseCarriesTheSheetVersion) {
+  const std::string Plain =
+      "HTTP/1.1 200 OK\r\nX-Stamps: s\r\nContent-Length: 3\r\n\r\nabc";
+  LinkResponseInfo Info;
+  Info.SheetVersion = 12;
+  Info.TryElsewhere = true;
+  const std::string Bytes = addLinkHeader(Plain, "r1", Info, Secret);
+  HttpResponse Response = parseResponse(Bytes);
+  const auto Decoded = decodeLinkResponse(Response, "r1", Secret);
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(Decoded->SheetVersion, 12u);
+  EXPECT_TRUE(Decoded->TryElsewhere);
+  EXPECT_FALSE(decodeLinkResponse(Response, "r2", Secret));
+  EXPECT_FALSE(decodeLinkResponse(Response, "r1", "other"));
+  EXPECT_FALSE(decodeLinkResponse(parseResponse(Plain), "r1", Secret));
+  const auto Relayed = decodeResponse(Response, names());
+  EXPECT_EQ(Relayed->Headers, "X-Stamps: s\r\n");
+  EXPECT_EQ(Relayed->Body, "abc");
+}
+
+TEST(LinkMessagesTest, ResponseWithAnotherStatusOrBodyIsRefused) {
+  const std::string Bytes = addLinkHeader(
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 1\r\n\r\nx", "r1",
+      LinkResponseInfo(), Secret);
+  for (const auto &[From, To] :
+       {std::pair("503", "200"), std::pair("\r\n\r\nx", "\r\n\r\ny")}) {
+    std::string Changed = Bytes;
+    Changed.replace(Changed.find(From), std::string(From).size(), To);
+    EXPECT_FALSE(decodeLinkResponse(parseResponse(Changed), "r1", Secret));
+  }
+}
--- a/tests/relay/RelayDaemonTest.cpp
+++ b/tests/relay/RelayDaemonTest.cpp
@@ -65,6 +65,10 @@
            ReplyCallback Done) override {
     Done(StoreReply{StoreOutcome::Done, 0});
   }
+  void create(const std::string &, const std::string &,
+              ReplyCallback Done) override {
+    Done(StoreReply{StoreOutcome::Done, 0});
+  }
 
 private:
   std::string Server;
--- a/tests/relay/RelayRequestHarness.h
+++ b/tests/relay/RelayRequestHarness.h
@@ -52,8 +52,11 @@
     Sheet.Routes = {RequestRoute};
     State->updateSheet(Sheet, Now);
     const Route &R = State->table()->sheet().Routes[0];
-    Request =
-        std::make_unique<RelayRequest>(State->plan(R, Now, absl::Seconds(1)));
+    startRequest(State->plan(R, Now, absl::Seconds(1), TransitTime));
+  }
+
+  void startRequest(RelayPlan Plan) {
+    Request = std::make_unique<RelayRequest>(std::move(Plan));
     Request->OnDequeued = [this](const RelayActions &Actions) {
       recordActions(Actions);
     };
@@ -84,11 +87,16 @@
     });
   }
 
+  /// The home of attempt \p Attempt has read the request.
+  void acknowledge(std::size_t Attempt) { Request->onAcknowledged(Attempt); }
+
   bool answered() const { return Verdict.has_value(); }
   const ServerRef &serverOf(std::size_t Attempt) const {
     return Request->serverOf(Attempt);
   }
 
+  /// Time that requests and responses are in transit to and from the caller.
+  Duration TransitTime = absl::Milliseconds(4);
   TimePoint Now = absl::UnixEpoch() + absl::Hours(1);
   RouteSheet Sheet;
   Route RequestRoute;
--- a/tests/relay/ScriptedStore.h
+++ b/tests/relay/ScriptedStore.h
@@ -46,6 +46,10 @@
            ReplyCallback Done) override {
     Calls.push_back({"put", Key, Lease, {}, std::move(Done)});
   }
+  void create(const std::string &Key, const std::string &,
+              ReplyCallback Done) override {
+    Calls.push_back({"create", Key, 0, {}, std::move(Done)});
+  }
 
   /// Completes the latest call, a read or watch.
   void respondPage(StoreOutcome Outcome, std::vector<StoreItem> Items = {},
--- a/tools/model/ModelWorld.cpp
+++ b/tools/model/ModelWorld.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Time that requests and responses are in transit to and from callers.
+constexpr Duration CallerTransitTime = absl::Milliseconds(4);
 /// A client sees a refused connection after this.
 constexpr Duration ConnectTime = absl::Milliseconds(1);
 /// Between two tries to reach a server that is out of reach.
@@ -297,7 +299,7 @@
   const auto Index = static_cast<std::size_t>(C->Kind - Setup.Kinds.data());
   T->Request = std::make_unique<RelayRequest>(
       I.State->plan(I.State->table()->sheet().Routes[Index], Now,
-                    C->Asked + C->Kind->Patience - Now));
+                    C->Asked + C->Kind->Patience - Now, CallerTransitTime));
   std::weak_ptr<Try> Weak = T;
   T->Request->OnDequeued = [this, Weak](const RelayActions &Actions) {
     if (auto Placed = Weak.lock())
