routing: no hedge to a server that has failed repeatedly

Cause: a request that excludes all healthy replicas, as a hedge or a retry does, went on to the replicas that are ejected, among them one that closes its connections because it leaves. Change: such replicas are used only if no replica of the shard is healthy, whatever the request excludes; one that is ejected for a moment comes before. Result: ReplicaSetTest.HedgeDoesNotGoToAServerThatFailedRepeatedly, red before.

--- a/include/quetzallead/ReplicaSet.h
+++ b/include/quetzallead/ReplicaSet.h
@@ -171,7 +171,7 @@
   };
 
   /// Which replicas a choice may fall on; each admits more than the one before.
-  enum class ChoicePass { Preferred, Lagging, Ejected };
+  enum class ChoicePass { Preferred, Lagging, Ejected, Failed };
 
   bool allowed(const Server &S, const PermitRequest &Request, ChoicePass Pass,
                TimePoint Now) const;
--- a/src/core/routing/ReplicaSet.cpp
+++ b/src/core/routing/ReplicaSet.cpp
@@ -150,6 +150,8 @@
     return Holds && !Ejected;
   if (Pass == ChoicePass::Lagging)
     return (Holds || Held.mayReach(Request.Version)) && !Ejected;
+  if (Pass == ChoicePass::Ejected && S.Belief.NeedsProbe)
+    return false;
   return Holds || Held.mayReach(Request.Version);
 }
 
@@ -157,9 +159,17 @@
                        bool &AnyAllowed) {
   std::vector<int> Allowed;
   Allowed.reserve(Servers.size());
-  // Each pass admits more: the last replica of a shard is never given up.
-  for (ChoicePass Pass :
-       {ChoicePass::Preferred, ChoicePass::Lagging, ChoicePass::Ejected}) {
+  const bool AnyHealthy =
+      std::any_of(Servers.begin(), Servers.end(), [&](const Server &S) {
+        return allowed(S, Request, ChoicePass::Lagging, Now);
+      });
+  // Each pass admits more: the last replica of a shard is never given up. A
+  // request that has tried all healthy replicas does not go to one that has
+  // failed repeatedly, which may be leaving.
+  for (ChoicePass Pass : {ChoicePass::Preferred, ChoicePass::Lagging,
+                          ChoicePass::Ejected, ChoicePass::Failed}) {
+    if (Pass == ChoicePass::Failed && AnyHealthy)
+      break;
     for (std::size_t Index = 0; Index < Servers.size(); ++Index) {
       bool Excluded = (Request.Excluded & replicaBit(Index)) != 0;
       if (!Excluded && allowed(Servers[Index], Request, Pass, Now))
--- a/tests/core/ReplicaSetTest.cpp
+++ b/tests/core/ReplicaSetTest.cpp
@@ -97,6 +97,41 @@
   EXPECT_LT(First, 15);
 }
 
+// A server that leaves by closing its connections is ejected after three lost
+// attempts. A stall of the others makes requests hedge or retry: these must not
+// reach the leaving server.
+TEST(ReplicaSetTest, HedgeDoesNotGoToAServerThatFailedRepeatedly) {
+  ReplicaSet Set(shardOf(3), optionsOf(RoutingPolicy::ExpectedCompletion), 9,
+                 Start);
+  auto Listener = std::make_shared<Recorder>();
+  TimePoint Now = Start;
+  for (int I = 0; I < 3; ++I) {
+    PermitRequest ToFirst;
+    ToFirst.Excluded = replicaBit(1) | replicaBit(2);
+    ASSERT_EQ(Set.acquire(ToFirst, Listener, Now).Replica, 0u);
+    Set.release(0, failed(AttemptResult::Lost), Now);
+  }
+  Now += absl::Seconds(3);
+  PermitRequest Third;
+  Third.MayWait = false;
+  Third.Excluded = replicaBit(1) | replicaBit(2);
+  EXPECT_NE(Set.acquire(Third, Listener, Now).Outcome, PermitOutcome::Granted);
+  // Nor if another server could not be reached a moment ago.
+  PermitRequest ToSecond;
+  ToSecond.Excluded = replicaBit(0) | replicaBit(2);
+  ASSERT_EQ(Set.acquire(ToSecond, Listener, Now).Replica, 1u);
+  Set.release(1, failed(AttemptResult::NotSent), Now);
+  PermitRequest Hedge;
+  Hedge.MayWait = false;
+  Hedge.Excluded = replicaBit(2);
+  for (int I = 0; I < 20; ++I) {
+    const Permit P = Set.acquire(Hedge, Listener, Now);
+    ASSERT_EQ(P.Outcome, PermitOutcome::Granted);
+    EXPECT_EQ(P.Replica, 1u);
+    Set.release(1, failed(AttemptResult::Cancelled), Now);
+  }
+}
+
 TEST(ReplicaSetTest, LastReplicaIsNeverEjected) {
   ReplicaSet Set(shardOf(2), optionsOf(RoutingPolicy::ExpectedCompletion), 9,
                  Start);
