--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -2,7 +2,7 @@
 # Installs what the build needs from Debian's packages; does nothing if all is there.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl
+  g++ cmake ninja-build ccache python3 pkg-config clang-format clang-tidy curl
   libwebsocketpp-dev libmicrohttpd-dev libcurl4-openssl-dev prometheus-cpp-dev
   libboost1.81-dev libboost-program-options1.81-dev libboost-log1.81-dev
   libboost-system1.81-dev libboost-thread1.81-dev libboost-filesystem1.81-dev
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Checks format and lint. Usage: tools/lint.sh [FILE...]; by default all sources.
+# A source that has passed is not linted again until it, a header that it includes
+# or a setting changes; LINT_CACHE names the folder that remembers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 files=("$@")
@@ -7,5 +9,13 @@
 clang-format --dry-run --Werror "${files[@]}"
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cpp$' || true)
 [ ${#sources[@]} -eq 0 ] && exit 0
-[ -f build/release/compile_commands.json ] || cmake --preset release >/dev/null
-printf '%s\n' "${sources[@]}" | xargs -P "${JOBS:-6}" -n 1 clang-tidy -p build/release --quiet 2>/dev/null
+export LINT_CACHE=${LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/quetzallead-lint}
+mkdir -p "$LINT_CACHE"
+cmake --preset lint >/dev/null
+lint_one() {
+  [ -e "$LINT_CACHE/$1" ] && return 0
+  clang-tidy -p build/lint --quiet "$2" 2>/dev/null && touch "$LINT_CACHE/$1"
+}
+export -f lint_one
+printf '%s\n' "${sources[@]}" | tools/lint-stamps.py build/lint/compile_commands.json |
+  xargs -P "${JOBS:-6}" -L 1 bash -c 'lint_one "$@"' lint_one
