--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -63,15 +63,14 @@
   Timer.reset();
   if (Deregistered)
     return;
-  if (!DirectoryRead)
-    readDirectory(std::string());
-  else if (WantsRegistration && !HasSecret && !Options.Self.LinkAddress.empty())
+  const bool Registering = DirectoryRead && WantsRegistration && !Registered;
+  if (Registering && !HasSecret && !Options.Self.LinkAddress.empty())
     createSecret();
-  else if (WantsRegistration && Lease == 0)
+  else if (Registering && Lease == 0)
     grantLease();
-  else if (WantsRegistration && !Registered)
+  else if (Registering)
     putRegistration();
-  else if (Registered && !ReadNext)
+  else if (DirectoryRead && Registered && !ReadNext)
     renewLease();
   else
     readDirectory(std::string());
