relay: homes share budgets and connections; hedges leave time for an answer

Change: homes share the base of the extra load and the servers' connections; spares get one connection to each server and a fifth of their own requests. A hedge is due after 0.35 of the objective at the latest, or the mean.

--- a/src/core/relay/HomeSelection.cpp
+++ b/src/core/relay/HomeSelection.cpp
@@ -2,6 +2,7 @@
 #include "absl/strings/str_cat.h"
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <xxhash.h>
 
 namespace quetzallead {
@@ -57,6 +58,16 @@
   return Out;
 }
 
+int countHomes(const InstanceDirectory &Directory, const HomePolicy &Policy) {
+  std::set<std::string> Zones;
+  for (const InstanceRecord &Instance : Directory.Instances)
+    Zones.insert(Instance.Zone);
+  std::size_t Count = 0;
+  for (const std::string &Zone : Zones)
+    Count += selectHomes(Directory, Zone, Policy).size();
+  return static_cast<int>(Count);
+}
+
 bool isHome(const InstanceDirectory &Directory, const std::string &Name,
             const std::string &Zone, const HomePolicy &Policy) {
   const std::vector<InstanceRecord> Homes =
--- a/src/core/relay/HomeSelection.h
+++ b/src/core/relay/HomeSelection.h
@@ -39,6 +39,9 @@
                                         const std::string &Zone,
                                         const HomePolicy &Policy);
 
+/// Number of homes of all zones.
+int countHomes(const InstanceDirectory &Directory, const HomePolicy &Policy);
+
 /// Whether \p Name is among the homes of its zone.
 bool isHome(const InstanceDirectory &Directory, const std::string &Name,
             const std::string &Zone, const HomePolicy &Policy);
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -18,6 +18,8 @@
 /// Fraction of the expected delay that must fit into the time left: actual
 /// delays are within a factor of two of the estimate.
 static constexpr double ExpectedDelayFraction = 0.5;
+/// Latest hedge, as a share of the objective.
+static constexpr double MaxHedgeShare = 0.35;
 /// Minimum Retry-After of a rejection; a new connection takes the caller a few
 /// milliseconds in any case.
 static constexpr Duration MinRetryAfter = absl::Milliseconds(20);
@@ -55,8 +57,12 @@
 }
 
 Duration RelayRequest::hedgeDelay() const {
+  // However slow the servers have become, a part that is hedged has to have time
+  // left to arrive by the objective.
   if (!isForwarded())
-    return Plan.Stats->hedgeDelay();
+    return std::min(Plan.Stats->hedgeDelay(),
+                    std::max(Plan.Stats->expected(),
+                             Plan.MatchedRoute->Objective * MaxHedgeShare));
   return std::clamp(Plan.MatchedRoute->Objective * HomeSilenceShare,
                     MinHomeSilenceTimeout, MaxHomeSilenceTimeout);
 }
@@ -135,7 +141,7 @@
   }
   for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
     const bool Affordable =
-        !Plan.Repeated || Plan.Targets[I].Budget->spend(0, Plan.Instances, Now);
+        !Plan.Repeated || Plan.Targets[I].Budget->spend(0, Plan.BudgetSharers, Now);
     if (InTime[I] && Affordable)
       acquirePermit(I, AttemptCause::First, Now, Out);
     else
@@ -298,7 +304,7 @@
   // An attempt that was never sent reached no server, so its repeat counts as
   // the first attempt.
   const bool First = P.Sent == 0;
-  if (!First && !T.Budget->spend(0, Plan.Instances, Now)) {
+  if (!First && !T.Budget->spend(0, Plan.BudgetSharers, Now)) {
     P.RetryAt = Now + ExtraAttemptRecheckDelay;
     return;
   }
@@ -324,7 +330,7 @@
   const bool FewPartsOpen = OpenParts <= 2;
   if (!T.Budget->spend(FewPartsOpen ? HedgeBudgetReserve
                                     : EarlyHedgeBudgetReserve,
-                       Plan.Instances, Now)) {
+                       Plan.BudgetSharers, Now)) {
     P.Obstacle = HedgeWithheldReason::Budget;
     P.HedgeAt = Now + ExtraAttemptRecheckDelay;
     return;
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -31,8 +31,10 @@
   /// One target, or one per shard of a survey.
   std::vector<RelayTarget> Targets;
   std::shared_ptr<RouteStats> Stats;
-  /// Number of instances that share the budgets.
+  /// Number of instances that share the backend servers.
   int Instances = 1;
+  /// Number of instances that share the base of the extra load.
+  int BudgetSharers = 1;
   TimePoint ArrivalTime;
   /// When the response should be sent so that it reaches the caller within the
   /// route's objective.
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -5,6 +5,8 @@
 
 namespace quetzallead {
 
+/// Number of sharers that leaves nothing of the base of the extra load.
+static constexpr int NoBudgetBase = 1000000;
 /// Service name of the homes, in logs.
 static constexpr char HomesService[] = "homes";
 /// Connections to one home. Requests of callers that exceed it wait for a
@@ -32,7 +34,8 @@
 }
 
 RelayState::RelayState(RelayStateOptions InitialOptions)
-    : Options(std::move(InitialOptions)), Instances(Options.AssumedInstances) {
+    : Options(std::move(InitialOptions)), Instances(Options.AssumedInstances),
+      HomeCount(Options.AssumedInstances) {
   Homes.Pool =
       std::make_shared<BackendPool>(Options.Zone, Options.Seed, Options.Pool);
   Homes.Pool->setConnectionShare(HomeConnections, absl::InfinitePast());
@@ -155,10 +158,18 @@
       if (Configured != Table->sheet().Services.end())
         Limit = Configured->second.ConnectionLimit;
     }
-    S.Pool->setConnectionShare(connectionShare(Limit, Instances), Now);
+    const int Others = Instances - HomeCount;
+    S.Pool->setConnectionShare(
+        SelfIsHome ? connectionShare(std::max(1, Limit - Others), HomeCount)
+                   : 1,
+        Now);
   }
 }
 
+int RelayState::budgetSharers() const {
+  return SelfIsHome ? HomeCount : NoBudgetBase;
+}
+
 std::vector<ServerRef>
 RelayState::applyFeedChanges(const std::vector<FeedChange> &Changes,
                              TimePoint Now) {
@@ -189,8 +200,11 @@
   return NewServers;
 }
 
-void RelayState::setInstanceCount(int Count, TimePoint Now) {
+void RelayState::setInstanceCount(int Count, int NewHomeCount,
+                                  bool NewSelfIsHome, TimePoint Now) {
   Instances = std::max(1, Count);
+  HomeCount = std::clamp(NewHomeCount, 1, Instances);
+  SelfIsHome = NewSelfIsHome;
   updateConnectionShares(Now);
   grantPermits(Now);
 }
@@ -205,7 +219,7 @@
   std::map<std::string, ServiceSnapshot> Out;
   for (const auto &[Name, S] : Services) {
     ServiceSnapshot Snapshot = S.Pool->snapshot(Now);
-    Snapshot.ExtraAttempts = S.Budget->available(Instances, Now);
+    Snapshot.ExtraAttempts = S.Budget->available(budgetSharers(), Now);
     Out.emplace(Name, Snapshot);
   }
   return Out;
@@ -216,7 +230,8 @@
   RelayPlan Plan;
   Plan.MatchedRoute = &MatchedRoute;
   Plan.Stats = Stats.at(MatchedRoute.Name);
-  Plan.Instances = Instances;
+  Plan.Instances = HomeCount;
+  Plan.BudgetSharers = budgetSharers();
   Plan.ArrivalTime = Arrived;
   Plan.Deadline = Arrived + std::min(TimeLeft - Options.DeadlineMargin,
                                      MatchedRoute.Timeout);
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -49,7 +49,12 @@
   /// or in a new incarnation and may receive requests.
   std::vector<ServerRef>
   applyFeedChanges(const std::vector<FeedChange> &Changes, TimePoint Now);
-  void setInstanceCount(int Count, TimePoint Now);
+  /// Sets the number of instances that may connect to backend servers and how
+  /// many of them are homes, which share what the limits allow; \p SelfIsHome
+  /// tells whether this one is. The others get one connection to each server,
+  /// and extra attempts for their own requests only.
+  void setInstanceCount(int Count, int HomeCount, bool SelfIsHome,
+                        TimePoint Now);
   int instances() const { return Instances; }
 
   /// Plans a request on a route of table(). \p TimeLeft is the rest of the
@@ -87,9 +92,13 @@
 
   Service &service(const std::string &Name);
   void updateConnectionShares(TimePoint Now);
+  /// Number of instances that share the base of the extra load.
+  int budgetSharers() const;
 
   RelayStateOptions Options;
   int Instances;
+  int HomeCount;
+  bool SelfIsHome = true;
   std::shared_ptr<const RouteTable> Table;
   std::map<std::string, Service> Services;
   /// Service name by server ID.
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -356,9 +356,12 @@
   if (Count != State.instances() || Home != WasHome)
     logEvent(LogLevel::Info, "instances_counted",
              {{"count", Count}, {"home", Home}});
-  State.setInstanceCount(Count, Now);
-  if (Settings.LinkListen.empty())
+  if (Settings.LinkListen.empty()) {
+    State.setInstanceCount(Count, Count, true, Now);
     return;
+  }
+  State.setInstanceCount(Count, countHomes(Directory, Settings.Homes), Home,
+                         Now);
   const std::vector<ServerRef> NewHomes =
       State.updateHomes(Directory, Settings.Instance, Now);
   Backends.closeRemovedServers();
