relay: no hedges while most parts of a survey are late

A home behind with its work found 36 of 54 parts late whose responses lay unread in its sockets, hedged them all and so fell further behind; its askers had left it by then. Change: while more than half of the parts are open the delay is taken to be common to them, and their hedges wait. Test: RelayRequestTest.NoHedgesWhileMostPartsAreLate.

--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -18,6 +18,10 @@
 /// Fraction of the expected delay that must fit into the time left: actual
 /// delays are within a factor of two of the estimate.
 static constexpr double ExpectedDelayFraction = 0.5;
+/// Share of the parts of a survey, and least number, that are open at a time when
+/// the delay is taken to be common to them.
+static constexpr double CommonDelayShare = 0.5;
+static constexpr std::size_t MinPartsForCommonDelay = 5;
 /// Latest hedge, as a share of the objective.
 static constexpr double MaxHedgeShare = 0.35;
 /// Minimum Retry-After of a rejection; a new connection takes the caller a few
@@ -328,6 +332,15 @@
   RelayTarget &T = Plan.Targets[Index];
   const std::size_t OpenParts = Parts.size() - AnsweredParts - FailedParts;
   const bool FewPartsOpen = OpenParts <= 2;
+  // If most parts are late, the cause is common to them: this instance is behind
+  // with its work, or all servers are. Hedges would add to it.
+  if (OpenParts > MinPartsForCommonDelay &&
+      static_cast<double>(OpenParts) >
+          static_cast<double>(Parts.size()) * CommonDelayShare) {
+    P.Obstacle = HedgeWithheldReason::MostPartsOpen;
+    P.HedgeAt = Now + ExtraAttemptRecheckDelay;
+    return;
+  }
   if (!T.Budget->spend(FewPartsOpen ? HedgeBudgetReserve
                                     : EarlyHedgeBudgetReserve,
                        Plan.BudgetSharers, Now)) {
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -253,3 +253,18 @@
   EXPECT_FALSE(W.answered());
   EXPECT_EQ(W.SentServers.size(), 2u);
 }
+
+// An instance that is behind with its work finds the parts of a survey late
+// although their responses have arrived.
+TEST(RelayRequestTest, NoHedgesWhileMostPartsAreLate) {
+  RelayRequestHarness W(20);
+  W.RequestRoute.Objective = absl::Milliseconds(200);
+  W.startRequest();
+  W.advance(absl::Milliseconds(100));
+  EXPECT_EQ(W.SentServers.size(), 20u);
+  EXPECT_EQ(W.Request->hedgesWithheld(HedgeWithheldReason::MostPartsOpen), 20u);
+  for (std::size_t I = 0; I < 16; ++I)
+    W.endAttempt(I, AttemptResult::Answered);
+  W.advance(absl::Milliseconds(20));
+  EXPECT_EQ(W.SentServers.size(), 24u);
+}
