relay: two homes a zone, all instances of a small zone

Cause: with fewer homes each knows the servers better and keeps its connections warm; three a zone were a first guess. Change: two homes and three spares a zone; a zone with three registered instances or fewer has all as homes, so that small deployments serve as before. The settings homes.per_zone, spares_per_zone and all_up_to say so.

--- a/src/core/relay/HomeSelection.cpp
+++ b/src/core/relay/HomeSelection.cpp
@@ -53,8 +53,8 @@
               const double ScoreB = rendezvousScore(B);
               return ScoreA != ScoreB ? ScoreA > ScoreB : A.Name < B.Name;
             });
-  if (Out.size() > static_cast<std::size_t>(Policy.PerZone))
-    Out.resize(static_cast<std::size_t>(Policy.PerZone));
+  if (Out.size() > static_cast<std::size_t>(Policy.AllUpTo))
+    Out.resize(std::min(Out.size(), static_cast<std::size_t>(Policy.PerZone)));
   return Out;
 }
 
--- a/src/core/relay/HomeSelection.h
+++ b/src/core/relay/HomeSelection.h
@@ -10,12 +10,14 @@
 
 /// Number of instances per zone that ask backend servers on behalf of all.
 struct HomePolicy {
-  /// Homes per zone. An instance whose zone has no more instances than this is
-  /// its own home.
-  int PerZone = 3;
+  /// Homes per zone.
+  int PerZone = 2;
   /// Further instances per zone that register, so that they replace a lost home
   /// without a call to the store.
-  int SparesPerZone = 2;
+  int SparesPerZone = 3;
+  /// In a zone with at most this many registered instances all are homes: few
+  /// instances know the backend servers well without help.
+  int AllUpTo = 3;
 };
 
 /// What a machine gives an instance.
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -46,6 +46,8 @@
       Homes.number("per_zone", 1, MaxHomesPerZone, S.Homes.PerZone));
   S.Homes.SparesPerZone = static_cast<int>(Homes.number(
       "spares_per_zone", 0, MaxHomesPerZone, S.Homes.SparesPerZone));
+  S.Homes.AllUpTo = static_cast<int>(
+      Homes.number("all_up_to", 0, MaxHomesPerZone, S.Homes.AllUpTo));
   Homes.finish();
   JsonReader Stop = Reader.optionalObject("stop");
   S.StopGrace = absl::Seconds(Stop.number("grace_s", 0,
@@ -106,6 +108,7 @@
   Out["machine"]["link_mbps"] = S.Machine.LinkMbps;
   Out["homes"]["per_zone"] = S.Homes.PerZone;
   Out["homes"]["spares_per_zone"] = S.Homes.SparesPerZone;
+  Out["homes"]["all_up_to"] = S.Homes.AllUpTo;
   Out["store"]["address"] = S.StoreAddress;
   Out["store"]["timeout_ms"] = absl::ToDoubleMilliseconds(S.StoreTimeout);
   Out["store"]["return_time_ms"] = absl::ToDoubleMilliseconds(S.ReturnTime);
--- a/tests/relay/RelaySettingsTest.cpp
+++ b/tests/relay/RelaySettingsTest.cpp
@@ -39,3 +39,20 @@
   UnknownKey.insert(UnknownKey.find("\"zone\""), "\"zoen\": \"b\", ");
   EXPECT_NE(parseErrorOf(UnknownKey).find("zoen"), std::string::npos);
 }
+
+TEST(RelaySettingsTest, ReadsLinkMachineAndHomes) {
+  std::string Text = MinimalSettings;
+  Text.insert(Text.find("\"store\""),
+              R"("link_listen": "127.0.0.1:83",
+                 "machine": {"cores": 0.5, "memory_mb": 200},
+                 "homes": {"per_zone": 4, "all_up_to": 0}, )");
+  auto Parsed = capture([&] { return parseRelaySettings(Text); });
+  ASSERT_TRUE(std::holds_alternative<RelaySettings>(Parsed));
+  const auto &S = std::get<RelaySettings>(Parsed);
+  EXPECT_EQ(S.LinkListen, "127.0.0.1:83");
+  EXPECT_EQ(S.Machine.Cores, 0.5);
+  EXPECT_EQ(S.Homes.PerZone, 4);
+  EXPECT_EQ(S.Homes.AllUpTo, 0);
+  Text.replace(Text.find("\"per_zone\": 4"), 13, "\"per_zone\": 0");
+  EXPECT_NE(parseErrorOf(Text).find("homes.per_zone"), std::string::npos);
+}
