--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -18,8 +18,8 @@
 /// Fraction of the expected delay that must fit into the time left: actual
 /// delays are within a factor of two of the estimate.
 static constexpr double ExpectedDelayFraction = 0.5;
-/// Share of the parts of a survey, and least number, that are open at a time when
-/// the delay is taken to be common to them.
+/// Share of the parts of a survey, and least number, that are open at a time
+/// when the delay is taken to be common to them.
 static constexpr double CommonDelayShare = 0.5;
 static constexpr std::size_t MinPartsForCommonDelay = 5;
 /// Latest hedge, as a share of the objective.
@@ -61,8 +61,8 @@
 }
 
 Duration RelayRequest::hedgeDelay() const {
-  // However slow the servers have become, a part that is hedged has to have time
-  // left to arrive by the objective.
+  // However slow the servers have become, a part that is hedged has to have
+  // time left to arrive by the objective.
   if (!isForwarded())
     return std::min(Plan.Stats->hedgeDelay(),
                     std::max(Plan.Stats->expected(),
@@ -144,8 +144,8 @@
     return;
   }
   for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
-    const bool Affordable =
-        !Plan.Repeated || Plan.Targets[I].Budget->spend(0, Plan.BudgetSharers, Now);
+    const bool Affordable = !Plan.Repeated || Plan.Targets[I].Budget->spend(
+                                                  0, Plan.BudgetSharers, Now);
     if (InTime[I] && Affordable)
       acquirePermit(I, AttemptCause::First, Now, Out);
     else
@@ -332,8 +332,8 @@
   RelayTarget &T = Plan.Targets[Index];
   const std::size_t OpenParts = Parts.size() - AnsweredParts - FailedParts;
   const bool FewPartsOpen = OpenParts <= 2;
-  // If most parts are late, the cause is common to them: this instance is behind
-  // with its work, or all servers are. Hedges would add to it.
+  // If most parts are late, the cause is common to them: this instance is
+  // behind with its work, or all servers are. Hedges would add to it.
   if (OpenParts > MinPartsForCommonDelay &&
       static_cast<double>(OpenParts) >
           static_cast<double>(Parts.size()) * CommonDelayShare) {
