relay: a starting home is not asked, not counted twice and not taken for cut off

Change: the link's port opens with the secret; the directory holds an instance once; StoreContact, apart from input and output, is told of sheets that came into force only.

--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -123,7 +123,7 @@
                 scheduleRetry();
                 return;
               }
-              Incoming.Instances.push_back(Options.Self);
+              addSelf();
               OnDirectory(Incoming);
               // The delay lets instances that start together all register
               // before the next read.
@@ -131,6 +131,17 @@
             });
 }
 
+void InstanceRegistry::addSelf() {
+  auto &Instances = Incoming.Instances;
+  // After a restart the directory still holds the previous registration.
+  Instances.erase(std::remove_if(Instances.begin(), Instances.end(),
+                                 [this](const InstanceRecord &I) {
+                                   return I.Name == Options.Self.Name;
+                                 }),
+                  Instances.end());
+  Instances.push_back(Options.Self);
+}
+
 void InstanceRegistry::renewLease() {
   Store.renewLease(Lease, [this](StoreReply Reply) {
     if (Reply.Outcome == StoreOutcome::NotFound) {
--- a/src/relay/InstanceRegistry.h
+++ b/src/relay/InstanceRegistry.h
@@ -48,6 +48,8 @@
   void renewLease();
   void putRegistration();
   void createSecret();
+  /// Adds this instance to the directory that was read before it registered.
+  void addSelf();
   /// Reads the keys after \p AfterKey into Incoming.
   void readDirectory(const std::string &AfterKey);
   void onPage(const StorePage &Page);
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -46,12 +46,6 @@
 static constexpr Duration AskerPollInterval = absl::Milliseconds(2000);
 /// Timeout of a request for the sheet.
 static constexpr Duration SheetFetchTimeout = absl::Milliseconds(500);
-/// A home counts the store as lost if it does not respond for this long, or if
-/// another home has had a newer sheet for this long.
-static constexpr Duration StoreLostDelay = absl::Milliseconds(500);
-/// A home that has lost the store hands its requests over to other homes while
-/// one that has not was seen within this time.
-static constexpr Duration HomeSightingMaxAge = absl::Seconds(3);
 /// Limits of requests between instances: a caller's request and some more.
 static constexpr std::size_t MaxLinkHeaderBytes = std::size_t{1} << 17;
 static constexpr std::uint64_t MaxLinkBodyBytes = std::uint64_t{64} << 20;
@@ -210,8 +204,6 @@
   Result<bool> Bound = bind(CallerListener, Settings.CallerListen);
   if (Bound)
     Bound = bind(ReadinessListener, Settings.ReadinessListen);
-  if (Bound && !Settings.LinkListen.empty())
-    Bound = bind(LinkListener, Settings.LinkListen);
   if (!Bound || Settings.MetricsListen.empty())
     return Bound;
   // Metrics are optional: the daemon also serves callers without them.
@@ -280,11 +272,11 @@
   };
   SheetHandlers.OnUnavailable = [this, LogUnavailable = UnavailableLogger(
                                            "sheet")](StoreOutcome Outcome) {
-    SheetStoreLostSince = LoopTimers::now();
+    Contact.onLost(FollowedData::Sheet, LoopTimers::now());
     LogUnavailable(Outcome);
   };
   SheetHandlers.OnAvailable = [this] {
-    SheetStoreLostSince = absl::InfiniteFuture();
+    Contact.onBack(FollowedData::Sheet);
     logEvent(LogLevel::Info, "store_back", {{"following", "sheet"}});
   };
   PrefixWatchOptions SheetOptions;
@@ -304,12 +296,12 @@
   };
   ServerHandlers.OnUnavailable = [this, LogUnavailable = UnavailableLogger(
                                             "servers")](StoreOutcome Outcome) {
-    ServerStoreLostSince = LoopTimers::now();
+    Contact.onLost(FollowedData::Servers, LoopTimers::now());
     Feed.onSourceUnavailable(LoopTimers::now());
     LogUnavailable(Outcome);
   };
   ServerHandlers.OnAvailable = [this] {
-    ServerStoreLostSince = absl::InfiniteFuture();
+    Contact.onBack(FollowedData::Servers);
     Feed.onSourceAvailable(LoopTimers::now());
     logEvent(LogLevel::Info, "store_back", {{"following", "servers"}});
   };
@@ -360,6 +352,7 @@
     State.setInstanceCount(Count, Count, true, Now);
     return;
   }
+  listenForLinks();
   State.setInstanceCount(Count, countHomes(Directory, Settings.Homes), Home,
                          Now);
   const std::vector<ServerRef> NewHomes =
@@ -374,6 +367,23 @@
     fetchSheet();
 }
 
+void RelayDaemon::listenForLinks() {
+  // Without the secret this instance could not tell other instances that it has
+  // not run a request; a refused connection does.
+  if (LinkSecret.empty() || LinkListener.is_open())
+    return;
+  auto Bound =
+      capture([this] { return bind(LinkListener, Settings.LinkListen); });
+  if (auto *Fault = std::get_if<Error>(&Bound)) {
+    logEvent(LogLevel::Error, "link_not_served", {{"reason", Fault->text()}});
+    error_code Ignored;
+    // The next directory is another chance to bind.
+    LinkListener.close(Ignored);
+    return;
+  }
+  accept(LinkListener, LinkHandlers, false);
+}
+
 bool RelayDaemon::canServe() const {
   return State.table() != nullptr && ServerWatcher->hasSnapshot() &&
          (Home || Registry->registered());
@@ -381,7 +391,7 @@
 
 bool RelayDaemon::servesItself() const {
   return !State.hasReachableHome() || LinkSecret.empty() ||
-         (Home && !handsOver(LoopTimers::now()));
+         (Home && !Contact.handsOver(LoopTimers::now()));
 }
 
 void RelayDaemon::noteSheetVersion(std::uint64_t Version) {
@@ -425,12 +435,9 @@
   if (End.Result == AttemptResult::Answered) {
     const auto Info = decodeLinkResponse(
         *End.Response, absl::StrCat("sheet-", SheetFetches), LinkSecret);
-    if (Info && !Info->TryElsewhere && !End.Response->body().empty()) {
-      adoptSheet(End.Response->body(), 0);
-      // The store should have told this instance by now.
-      if (Active && SheetFromHomeSince == absl::InfiniteFuture())
-        SheetFromHomeSince = LoopTimers::now();
-    }
+    if (Info && !Info->TryElsewhere && !End.Response->body().empty() &&
+        adoptSheet(End.Response->body(), 0))
+      Contact.onSheetFromHome(LoopTimers::now());
     if (Info)
       noteHome(*Info);
   }
@@ -452,32 +459,20 @@
   if (Newest == nullptr)
     return;
   adoptSheet(Newest->Value, Newest->Revision);
-  SheetFromHomeSince = absl::InfiniteFuture();
-}
-
-bool RelayDaemon::storeLost(TimePoint Now) const {
-  if (!Active)
-    return false;
-  const TimePoint Since =
-      std::min({SheetFromHomeSince, SheetStoreLostSince, ServerStoreLostSince});
-  return Now - Since >= StoreLostDelay;
-}
-
-bool RelayDaemon::handsOver(TimePoint Now) const {
-  return storeLost(Now) && Now - HomeWithStoreSeenAt < HomeSightingMaxAge;
+  Contact.onSheetFromStore();
 }
 
 void RelayDaemon::noteHome(const LinkResponseInfo &Info) {
   if (!Info.StoreLost && Info.SheetVersion != 0)
-    HomeWithStoreSeenAt = LoopTimers::now();
+    Contact.onHomeInContact(LoopTimers::now());
   noteSheetVersion(Info.SheetVersion);
 }
 
-void RelayDaemon::adoptSheet(absl::string_view Text, std::uint64_t Revision) {
+bool RelayDaemon::adoptSheet(absl::string_view Text, std::uint64_t Revision) {
   auto Decoded = capture([&] { return Environment.DecodeSheet(Text); });
   if (auto *Fault = std::get_if<Error>(&Decoded)) {
     logEvent(LogLevel::Error, "sheet_refused", {{"reason", Fault->text()}});
-    return;
+    return false;
   }
   auto &Sheet = std::get<RouteSheet>(Decoded);
   const std::uint64_t Version = Sheet.Version;
@@ -486,9 +481,10 @@
   logEvent(LogLevel::Info, Adopted ? "sheet_taken" : "sheet_not_newer",
            {{"version", Version}, {"routes", Routes}, {"revision", Revision}});
   if (!Adopted)
-    return;
+    return false;
   SheetText = std::string(Text);
   NewestSheetVersion = std::max(NewestSheetVersion, Version);
+  return true;
 }
 
 void RelayDaemon::applyServerChanges(const std::vector<FeedChange> &Changes) {
@@ -560,7 +556,7 @@
     LinkResponseInfo Info;
     Info.SheetVersion =
         State.table() != nullptr ? State.table()->sheet().Version : 0;
-    Info.StoreLost = storeLost(LoopTimers::now());
+    Info.StoreLost = Active && Contact.lost(LoopTimers::now());
     Info.TryElsewhere = TryElsewhere;
     Bytes = addLinkHeader(std::move(Bytes), RequestId, Info, LinkSecret);
   }
@@ -705,7 +701,7 @@
     rejectLinkRequest(*Asker, Call.RequestId, "not ready");
     return;
   }
-  if (!Info.PassedBack && handsOver(LoopTimers::now())) {
+  if (!Info.PassedBack && Contact.handsOver(LoopTimers::now())) {
     rejectLinkRequest(*Asker, Call.RequestId, "store lost");
     return;
   }
@@ -915,8 +911,6 @@
            {{"zone", Settings.Zone}, {"listen", Settings.CallerListen}});
   accept(CallerListener, RequestHandlers, true);
   accept(ReadinessListener, ReadinessHandlers, false);
-  if (LinkListener.is_open())
-    accept(LinkListener, LinkHandlers, false);
   if (MetricsListener.is_open())
     accept(MetricsListener, MetricsHandlers, false);
   waitForSignal();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -2,6 +2,7 @@
 #define QUETZALLEAD_RELAY_RELAYDAEMON_H
 
 #include "core/relay/RelayState.h"
+#include "core/relay/StoreContact.h"
 #include "relay/AttemptCodec.h"
 #include "relay/BackendClient.h"
 #include "relay/CallerSession.h"
@@ -73,6 +74,8 @@
   /// Tells the asking instance that this one has not run the request.
   void rejectLinkRequest(CallerSession &Asker, const std::string &RequestId,
                          absl::string_view Reason);
+  /// Accepts requests of other instances once the secret is known.
+  void listenForLinks();
   void onDirectory(const InstanceDirectory &Directory);
   /// Starts to follow the sheet and the backend servers in the store.
   void activate();
@@ -84,13 +87,10 @@
   /// while.
   void fetchSheet();
   void onSheetFetched(const HttpExchangeResult &End);
-  void adoptSheet(absl::string_view Text, std::uint64_t Revision);
+  /// Puts \p Text into force if it is a newer sheet; tells whether it was.
+  bool adoptSheet(absl::string_view Text, std::uint64_t Revision);
   /// Records what a home says of itself.
   void noteHome(const LinkResponseInfo &Info);
-  /// Whether this instance cannot follow the sheet and the servers at present.
-  bool storeLost(TimePoint Now) const;
-  /// Whether other homes should serve in place of this one.
-  bool handsOver(TimePoint Now) const;
   void noteSheetVersion(std::uint64_t Version);
   /// Whether a newer sheet is known to exist, or none has been read.
   bool sheetBehind() const;
@@ -144,13 +144,7 @@
   /// Highest sheet version that this instance or a home that it asked has had.
   std::uint64_t NewestSheetVersion = 0;
   bool FetchingSheet = false;
-  /// Since when the sheet in force is one that the store has not returned yet.
-  TimePoint SheetFromHomeSince = absl::InfiniteFuture();
-  /// Since when the store has not responded; infinite if it does.
-  TimePoint SheetStoreLostSince = absl::InfiniteFuture();
-  TimePoint ServerStoreLostSince = absl::InfiniteFuture();
-  /// When a home last said that it has the store.
-  TimePoint HomeWithStoreSeenAt = absl::InfinitePast();
+  StoreContact Contact;
   std::size_t SheetFetches = 0;
   std::shared_ptr<LoopTimers::Subscription> FetchTimer;
   Acceptor CallerListener;
--- a/tests/relay/InstanceRegistryTest.cpp
+++ b/tests/relay/InstanceRegistryTest.cpp
@@ -81,6 +81,17 @@
   EXPECT_EQ(Directories[1].Instances.back().Name, "self");
 }
 
+TEST_F(InstanceRegistryTest, RestartedInstanceIsInTheDirectoryOnce) {
+  Store.respondPage(StoreOutcome::Done,
+                    {StoreItem{"q/secret", "s", 2, false}, entry("i1", "a"),
+                     entry("self", "a")},
+                    9);
+  Store.respond(StoreOutcome::Done, 77);
+  Store.respond(StoreOutcome::Done);
+  ASSERT_EQ(Directories.size(), 2u);
+  EXPECT_EQ(Directories[1].count(), 2);
+}
+
 TEST_F(InstanceRegistryTest, CreatesTheSecretInAnEmptyStore) {
   Store.respondPage(StoreOutcome::Done, {}, 9);
   awaitCalls(2);
--- a/tests/relay/RelayDaemonTest.cpp
+++ b/tests/relay/RelayDaemonTest.cpp
@@ -39,8 +39,11 @@
     StorePage Page;
     Page.Outcome = StoreOutcome::Done;
     Page.Revision = 5;
-    if (Prefix == "quetzallead/")
+    if (Prefix == "quetzallead/") {
       Page.Items = Tier;
+      Page.Outcome =
+          TierUnreadable ? StoreOutcome::Rejected : StoreOutcome::Done;
+    }
     if (Prefix == "op/config")
       Page.Items = {StoreItem{"op/config", Sheet, 4, false}};
     if (Prefix == "servers/")
@@ -72,12 +75,17 @@
     Done(StoreReply{StoreOutcome::Done, 0});
   }
 
+  /// Rejects reads of what the instances have stored.
+  static std::atomic<bool> TierUnreadable;
+
 private:
   std::string Server;
   /// What the instances have stored.
   std::vector<StoreItem> Tier;
 };
 
+std::atomic<bool> StaticStore::TierUnreadable{false};
+
 /// A backend server that responds to each request with the request's path,
 /// after 500 ms if the path is "/slow". Uses one thread per connection.
 class PathEchoServer {
@@ -265,6 +273,16 @@
   std::thread RelayThread;
 };
 
+/// Makes what the instances have stored unreadable. Must be constructed before
+/// the relay.
+class UnreadableTier {
+protected:
+  UnreadableTier() { StaticStore::TierUnreadable = true; }
+  ~UnreadableTier() { StaticStore::TierUnreadable = false; }
+  UnreadableTier(const UnreadableTier &) = delete;
+  UnreadableTier &operator=(const UnreadableTier &) = delete;
+};
+
 /// Adds an instance that is no home and forwards to the relay.
 class RelayHomeTest : public RelayDaemonTest {
 protected:
@@ -308,6 +326,12 @@
   std::thread AskerThread;
 };
 
+/// Starts a home that cannot read what the instances have stored.
+class RelayStartTest : protected UnreadableTier, public RelayDaemonTest {
+protected:
+  RelayStartTest() : RelayDaemonTest(freePort()) {}
+};
+
 /// Redirects the log into a pipe that nobody reads. Must be constructed before
 /// the relay and destroyed after it.
 class UnreadLogPipe {
@@ -498,6 +522,28 @@
   EXPECT_TRUE(std::holds_alternative<bool>(Bound));
 }
 
+// A home that has just started does not know the secret by which it could tell
+// that it has not run a request.
+TEST_F(RelayStartTest, RefusesLinksUntilItKnowsTheSecret) {
+  absl::SleepFor(absl::Milliseconds(200));
+  boost::system::error_code Fault;
+  tcp::socket Early(Loop);
+  Early.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                              static_cast<std::uint16_t>(LinkPort)),
+                Fault);
+  EXPECT_EQ(Fault, boost::asio::error::connection_refused);
+  StaticStore::TierUnreadable = false;
+  for (int Try = 0; Try < 500 && Fault; ++Try) {
+    absl::SleepFor(absl::Milliseconds(10));
+    tcp::socket Later(Loop);
+    Fault.clear();
+    Later.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                static_cast<std::uint16_t>(LinkPort)),
+                  Fault);
+  }
+  EXPECT_FALSE(Fault) << Fault.message();
+}
+
 TEST_F(RelayHomeTest, ForwardsRequestsToItsHome) {
   const std::string Answer = ask(encodeGet("/a"), 2);
   EXPECT_EQ(Answer.substr(0, 15), "HTTP/1.1 200 OK") << Answer;
