explain: the lines of a request that crossed a home

Cause: the story of a request named a home's lines by their events alone. Change: the four events of links and homes have meanings; a home that became active, or whose link is not served, is told as context. Result: LogStoryTest.TellsOfARequestThatCrossedAHome.

--- a/src/cli/LogStory.cpp
+++ b/src/cli/LogStory.cpp
@@ -35,6 +35,8 @@
     {"store_lost", "the store stopped answering", true},
     {"store_back", "the store answers again", true},
     {"instances_counted", "the number of instances changed", true},
+    {"home_activated", "the instance began to ask backend servers", true},
+    {"link_not_served", "the instance takes no requests of others", true},
     {"log_dropped", "lines were left out of the log", true},
     {"sheet_taken", "a sheet came into force", true},
     {"sheet_not_newer", "a sheet was not newer than the one in force", true},
@@ -49,6 +51,8 @@
     {"request_late", "the request was answered after its objective", false},
     {"request_served", "the request was answered in time", false},
     {"parts_missing", "the answer left parts out", false},
+    {"link_request_passed_back", "a home passed the request back unrun", false},
+    {"link_request_refused", "an unsigned request was refused", false},
     {"attempt_added", "a further attempt was sent", false},
     {"attempt_failed", "an attempt ended without a usable answer", false},
 };
--- a/tests/cli/LogStoryTest.cpp
+++ b/tests/cli/LogStoryTest.cpp
@@ -53,6 +53,23 @@
   EXPECT_EQ(Story.Dropped, 7u);
 }
 
+TEST(LogStoryTest, TellsOfARequestThatCrossedAHome) {
+  const std::vector<LogLine> Lines = {
+      line("29.0", "home", "home_activated chosen=1"),
+      line("29.5", "other", "home_activated chosen=1"),
+      line("30.0", "home",
+           "link_request_passed_back request=r reason=\"store lost\""),
+      line("30.1", "asker",
+           "attempt_failed request=r service=homes server=home result=shed"),
+  };
+  const LogStory Story = tellStory(Lines, StorySubject::Request, "r");
+  EXPECT_EQ(eventsOf(Story), (std::vector<std::string>{
+                                 "home_activated", "link_request_passed_back",
+                                 "attempt_failed"}));
+  EXPECT_NE(describeLine(Lines[2]).find("a home passed the request back unrun"),
+            std::string::npos);
+}
+
 TEST(LogStoryTest, TellsOfAServerAtAllInstances) {
   const LogStory Story = tellStory(example(), StorySubject::Server, "s2");
   EXPECT_EQ(eventsOf(Story),
