relay: a stale directory does not make an instance forget itself

An instance that had registered after a planned restart read a directory from before that 2 s later (stale reads may be seconds old), took itself for no home and forwarded to the instances of that directory, two of them behind a cut, until the next read 10 s later. Change: while its registration stands an instance is in the directory.

--- a/src/relay/InstanceRegistry.cpp
+++ b/src/relay/InstanceRegistry.cpp
@@ -133,7 +133,8 @@
 
 void InstanceRegistry::addSelf() {
   auto &Instances = Incoming.Instances;
-  // After a restart the directory still holds the previous registration.
+  // The directory may be older than the registration, or still hold the one
+  // from before a restart.
   Instances.erase(std::remove_if(Instances.begin(), Instances.end(),
                                  [this](const InstanceRecord &I) {
                                    return I.Name == Options.Self.Name;
@@ -199,6 +200,8 @@
   DirectoryRead = true;
   HasSecret = !Incoming.LinkSecret.empty();
   ReadNext = false;
+  if (Registered)
+    addSelf();
   OnDirectory(Incoming);
   if (Registered) {
     scheduleAdvance(RenewInterval);
--- a/tests/relay/InstanceRegistryTest.cpp
+++ b/tests/relay/InstanceRegistryTest.cpp
@@ -92,6 +92,19 @@
   EXPECT_EQ(Directories[1].count(), 2);
 }
 
+// A stale read may be from before the registration.
+TEST_F(InstanceRegistryTest, StaleDirectoryStillHoldsThisInstance) {
+  auto Items = filledZone();
+  Items.pop_back();
+  Store.respondPage(StoreOutcome::Done, Items, 9);
+  Store.respond(StoreOutcome::Done, 77);
+  Store.respond(StoreOutcome::Done);
+  awaitCalls(4);
+  Store.respondPage(StoreOutcome::Done, Items, 9);
+  EXPECT_EQ(Directories.back().count(), 5);
+  EXPECT_EQ(Directories.back().Instances.back().Name, "self");
+}
+
 TEST_F(InstanceRegistryTest, CreatesTheSecretInAnEmptyStore) {
   Store.respondPage(StoreOutcome::Done, {}, 9);
   awaitCalls(2);
