relay: the homes of a zone that is cut off do not hand over to each other

From 37 s to 40 s the two homes of the zone that was cut off passed requests to each other as cut off from the store, and rejected or lost 150 of them: each had seen the other in contact within the last 3 s. Test: StoreContactTest.ServesOnSoonAfterTheLastHomeLostTheStore.

--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -770,8 +770,20 @@
           return;
         std::shared_ptr<RelaySession> Finished = std::move(Found->second);
         ActiveRequests.erase(Found);
-        if (auto Open = WeakCaller.lock())
-          onResult(*Open, *Finished, Verdict);
+        auto Open = WeakCaller.lock();
+        if (Open == nullptr)
+          return;
+        // No home has run it: a home that has only handed over serves it
+        // itself.
+        const bool NotRun = Verdict.Outcome == RelayOutcome::Rejected ||
+                            Verdict.Outcome == RelayOutcome::Unservable;
+        if (NotRun && canServe() &&
+            Finished->request().plan().MatchedRoute->Target ==
+                RouteTarget::Home) {
+          serve(Open, Finished->call(), LinkRequestInfo());
+          return;
+        }
+        onResult(*Open, *Finished, Verdict);
       });
   ActiveRequests[CallerKey] = Session;
   Session->start();
--- a/tests/relay/StoreContactTest.cpp
+++ b/tests/relay/StoreContactTest.cpp
@@ -31,9 +31,18 @@
   EXPECT_FALSE(Contact.handsOver(at(4000)));
 }
 
+// Both homes of a zone that is cut off lose the store, the second one a little
+// later.
+TEST(StoreContactTest, ServesOnSoonAfterTheLastHomeLostTheStore) {
+  StoreContact Contact;
+  Contact.onLost(FollowedData::Sheet, at(0));
+  Contact.onHomeInContact(at(500));
+  EXPECT_TRUE(Contact.handsOver(at(600)));
+  EXPECT_FALSE(Contact.handsOver(at(2000)));
+}
+
 TEST(StoreContactTest, RepeatedLossesKeepTheFirstTime) {
   StoreContact Contact;
-  Contact.onHomeInContact(at(0));
   Contact.onLost(FollowedData::Sheet, at(0));
   Contact.onLost(FollowedData::Sheet, at(450));
   EXPECT_TRUE(Contact.lost(at(500)));
