--- a/src/core/relay/StoreContact.cpp
+++ b/src/core/relay/StoreContact.cpp
@@ -6,9 +6,9 @@
 /// The store counts as lost if it does not respond for this long, or if another
 /// home has had a newer sheet for this long.
 static constexpr Duration LossDelay = absl::Milliseconds(500);
-/// A home hands over while another one was in contact within this time. In a zone
-/// that is cut off the homes lose the store one after the other, and must not go
-/// on handing over to each other.
+/// A home hands over while another one was in contact within this time. In a
+/// zone that is cut off the homes lose the store one after the other, and must
+/// not go on handing over to each other.
 static constexpr Duration ContactMaxAge = absl::Milliseconds(1200);
 
 void StoreContact::onLost(FollowedData What, TimePoint Now) {
