--- a/src/core/relay/StoreContact.h
+++ b/src/core/relay/StoreContact.h
@@ -8,13 +8,13 @@
 /// What a home follows in the store.
 enum class FollowedData { Sheet, Servers };
 
-/// Tells whether a home is in contact with the store, and whether it should hand
-/// its requests over to homes that are.
+/// Tells whether a home is in contact with the store, and whether it should
+/// hand its requests over to homes that are.
 ///
-/// Handles stores that turn away or do not answer some machines while they serve
-/// the others, also without an error: a watch that hangs is noticed by a sheet
-/// that other homes have had for a while. If no other home is in contact either,
-/// the home serves on by what it knows.
+/// Handles stores that turn away or do not answer some machines while they
+/// serve the others, also without an error: a watch that hangs is noticed by a
+/// sheet that other homes have had for a while. If no other home is in contact
+/// either, the home serves on by what it knows.
 class StoreContact {
 public:
   void onLost(FollowedData What, TimePoint Now);
