--- /dev/null
+++ b/tests/relay/FakeStore.cpp
@@ -0,0 +1,186 @@
+#include "relay/FakeStore.h"
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+
+namespace quetzallead {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using nlohmann::json;
+
+FakeStore::FakeStore()
+    : Listener(Loop,
+               tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+      AcceptThread([this] { accept(); }) {}
+
+FakeStore::~FakeStore() {
+  Stopped = true;
+  error_code Ignored;
+  // Unblocks the pending accept().
+  tcp::socket WakeUp(Loop);
+  WakeUp.connect(Listener.local_endpoint(), Ignored);
+  AcceptThread.join();
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    for (tcp::socket &Peer : Peers)
+      Peer.shutdown(tcp::socket::shutdown_both, Ignored);
+  }
+  Changed.notify_all();
+  for (std::thread &T : ConnectionThreads)
+    T.join();
+}
+
+std::string FakeStore::address() const {
+  return "127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
+}
+
+void FakeStore::put(const std::string &Key, const std::string &Value) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Items[Key] = Item{Value, ++Revision, false};
+  Changed.notify_all();
+}
+
+void FakeStore::remove(const std::string &Key) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Items[Key] = Item{"", ++Revision, true};
+  Changed.notify_all();
+}
+
+void FakeStore::setSilent(bool Value) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  Silent = Value;
+}
+
+bool FakeStore::watched(const std::string &Prefix) const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  auto Found = Waiting.find(Prefix);
+  return Found != Waiting.end() && Found->second > 0;
+}
+
+void FakeStore::accept() {
+  for (;;) {
+    error_code Fault;
+    tcp::socket Peer = Listener.accept(Fault);
+    if (Fault || Stopped)
+      return;
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Peers.push_back(std::move(Peer));
+    ConnectionThreads.emplace_back(
+        [this, &Accepted = Peers.back()] { serve(Accepted); });
+  }
+}
+
+void FakeStore::serve(tcp::socket &Peer) {
+  boost::beast::flat_buffer Buffer;
+  bool Lost = false;
+  for (;;) {
+    http::request<http::string_body> Request;
+    error_code Fault;
+    http::read(Peer, Buffer, Request, Fault);
+    if (Fault)
+      return;
+    const Answer Given = answer(std::string(Request.method_string()),
+                                std::string(Request.target()), Request.body());
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Lost = Lost || Silent;
+    }
+    if (Lost)
+      continue;
+    http::response<http::string_body> Response{
+        static_cast<http::status>(Given.Status), 11};
+    Response.body() = Given.Body.dump();
+    Response.prepare_payload();
+    http::write(Peer, Response, Fault);
+    if (Fault)
+      return;
+  }
+}
+
+json FakeStore::describe(const std::string &Key, const Item &Entry) {
+  if (Entry.Removed)
+    return {{"key", Key}, {"revision", Entry.Revision}, {"removed", true}};
+  return {{"key", Key},
+          {"value", absl::Base64Escape(Entry.Value)},
+          {"revision", Entry.Revision},
+          {"created", 1},
+          {"lease", 0}};
+}
+
+FakeStore::Answer
+FakeStore::watch(const std::map<std::string, std::string> &Query) {
+  const std::string &Prefix = Query.at("prefix");
+  const std::uint64_t After = std::stoull(Query.at("after"));
+  const auto Deadline =
+      std::chrono::steady_clock::now() +
+      std::chrono::milliseconds(std::stol(Query.at("wait_ms")));
+  std::unique_lock<std::mutex> Lock(Mutex);
+  ++Waiting[Prefix];
+  json Events = json::array();
+  Changed.wait_until(Lock, Deadline, [&] {
+    for (const auto &[Key, Entry] : Items)
+      if (Entry.Revision > After && absl::StartsWith(Key, Prefix))
+        Events.push_back(describe(Key, Entry));
+    return Stopped || !Events.empty();
+  });
+  --Waiting[Prefix];
+  return {200, {{"events", Events}, {"current_rev", Revision}}};
+}
+
+FakeStore::Answer FakeStore::transact(const std::string &Body) {
+  const json Document = json::parse(Body);
+  std::lock_guard<std::mutex> Lock(Mutex);
+  for (const json &Row : Document.at("precondition")) {
+    auto Found = Items.find(Row.at("key"));
+    const std::uint64_t Current = Found == Items.end() || Found->second.Removed
+                                      ? 0
+                                      : Found->second.Revision;
+    if (Current != Row.at("revision").get<std::uint64_t>())
+      return {412, {{"items", json::array()}}};
+  }
+  ++Revision;
+  for (const json &Put : Document.at("puts")) {
+    std::string Value;
+    absl::Base64Unescape(Put.at("value").get<std::string>(), &Value);
+    Items[Put.at("key")] = Item{Value, Revision, false};
+  }
+  Changed.notify_all();
+  return {200, {{"revision", Revision}}};
+}
+
+FakeStore::Answer FakeStore::answer(const std::string &Method,
+                                    const std::string &Target,
+                                    const std::string &Body) {
+  const std::pair<std::string, std::string> Parts =
+      absl::StrSplit(Target, absl::MaxSplits('?', 1));
+  std::map<std::string, std::string> Query;
+  for (absl::string_view Field :
+       absl::StrSplit(Parts.second, '&', absl::SkipEmpty())) {
+    const std::pair<std::string, std::string> Pair =
+        absl::StrSplit(Field, absl::MaxSplits('=', 1));
+    Query.insert(Pair);
+  }
+  if (Parts.first == "/kv-watch")
+    return watch(Query);
+  if (Parts.first == "/kv-txn")
+    return transact(Body);
+  if (Parts.first == "/kv-lease")
+    return {200, {{"lease", 7}, {"ttl_ms", 30000}}};
+  if (Method != "GET" || Parts.first != "/kv-range")
+    return {200, json::object()};
+  std::lock_guard<std::mutex> Lock(Mutex);
+  json Found = json::array();
+  for (const auto &[Key, Entry] : Items)
+    if (!Entry.Removed && absl::StartsWith(Key, Query.at("prefix")) &&
+        Key > Query["after"])
+      Found.push_back(describe(Key, Entry));
+  return {200,
+          {{"items", Found}, {"has_more", false}, {"current_rev", Revision}}};
+}
+
+} // namespace quetzallead
--- /dev/null
+++ b/tests/relay/FakeStore.h
@@ -0,0 +1,74 @@
+#ifndef QUETZALLEAD_TESTS_RELAY_FAKESTORE_H
+#define QUETZALLEAD_TESTS_RELAY_FAKESTORE_H
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <condition_variable>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+
+namespace quetzallead {
+
+/// The platform's metadata store over HTTP: keys with revisions, range reads,
+/// watches and transactions. Leases never expire. Uses one thread per
+/// connection.
+class FakeStore {
+public:
+  FakeStore();
+  ~FakeStore();
+  FakeStore(const FakeStore &) = delete;
+  FakeStore &operator=(const FakeStore &) = delete;
+
+  std::string address() const;
+  void put(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+  /// While the store is silent, each response is lost: its connection stays
+  /// open and returns nothing further.
+  void setSilent(bool Value);
+  /// Whether a watch of \p Prefix is waiting for a change.
+  bool watched(const std::string &Prefix) const;
+
+private:
+  struct Item {
+    std::string Value;
+    std::uint64_t Revision = 0;
+    bool Removed = false;
+  };
+  struct Answer {
+    unsigned Status = 200;
+    nlohmann::json Body;
+  };
+
+  void accept();
+  void serve(boost::asio::ip::tcp::socket &Peer);
+  Answer answer(const std::string &Method, const std::string &Target,
+                const std::string &Body);
+  Answer watch(const std::map<std::string, std::string> &Query);
+  Answer transact(const std::string &Body);
+  static nlohmann::json describe(const std::string &Key, const Item &Entry);
+
+  boost::asio::io_context Loop;
+  boost::asio::ip::tcp::acceptor Listener;
+  std::atomic<bool> Stopped{false};
+  mutable std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Silent = false;
+  std::uint64_t Revision = 1;
+  std::map<std::string, Item> Items;
+  /// Number of waiting watches by prefix.
+  std::map<std::string, int> Waiting;
+  std::list<boost::asio::ip::tcp::socket> Peers;
+  std::thread AcceptThread;
+  std::list<std::thread> ConnectionThreads;
+};
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_TESTS_RELAY_FAKESTORE_H
--- /dev/null
+++ b/tests/relay/PathEchoServer.h
@@ -0,0 +1,97 @@
+#ifndef QUETZALLEAD_TESTS_RELAY_PATHECHOSERVER_H
+#define QUETZALLEAD_TESTS_RELAY_PATHECHOSERVER_H
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <vector>
+
+namespace quetzallead {
+
+/// A backend server that responds to each request with the request's path,
+/// after 500 ms if the path is "/slow". Uses one thread per connection.
+class PathEchoServer {
+public:
+  PathEchoServer()
+      : Listener(Loop, boost::asio::ip::tcp::endpoint(
+                           boost::asio::ip::make_address("127.0.0.1"), 0)) {
+    AcceptThread = std::thread([this] {
+      for (;;) {
+        boost::system::error_code Fault;
+        boost::asio::ip::tcp::socket Socket = Listener.accept(Fault);
+        if (Fault || Stopped)
+          return;
+        ConnectionThreads.emplace_back(
+            [this, Peer = std::move(Socket)]() mutable { serve(Peer); });
+      }
+    });
+  }
+  ~PathEchoServer() {
+    Stopped = true;
+    boost::system::error_code Ignored;
+    // Unblocks the pending accept().
+    boost::asio::ip::tcp::socket WakeUp(Loop);
+    WakeUp.connect(Listener.local_endpoint(), Ignored);
+    AcceptThread.join();
+    for (std::thread &T : ConnectionThreads)
+      T.join();
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
+  }
+
+  /// Requests whose connection was closed before the response was sent.
+  std::atomic<int> DisconnectedRequests{0};
+
+private:
+  void serve(boost::asio::ip::tcp::socket &Peer) {
+    std::string Buffer;
+    for (;;) {
+      boost::system::error_code Fault;
+      const std::size_t End = boost::asio::read_until(
+          Peer, boost::asio::dynamic_buffer(Buffer), "\r\n\r\n", Fault);
+      if (Fault)
+        return;
+      const std::string Head = Buffer.substr(0, End);
+      Buffer.erase(0, End);
+      const std::string Path = Head.substr(4, Head.find(' ', 4) - 4);
+      if (Path == "/slow")
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+      char Byte = 0;
+      if (recv(Peer.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+        ++DisconnectedRequests;
+        return;
+      }
+      const std::string Answer =
+          "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: " +
+          std::to_string(Path.size()) + "\r\n\r\n" + Path;
+      boost::asio::write(Peer, boost::asio::buffer(Answer), Fault);
+      if (Fault)
+        return;
+    }
+  }
+
+  boost::asio::io_context Loop;
+  boost::asio::ip::tcp::acceptor Listener;
+  std::atomic<bool> Stopped{false};
+  std::thread AcceptThread;
+  std::vector<std::thread> ConnectionThreads;
+};
+
+/// A port of the loopback interface that was free a moment ago.
+inline int freePort() {
+  boost::asio::io_context Loop;
+  boost::asio::ip::tcp::acceptor Any(
+      Loop, boost::asio::ip::tcp::endpoint(
+                boost::asio::ip::make_address("127.0.0.1"), 0));
+  return Any.local_endpoint().port();
+}
+
+} // namespace quetzallead
+
+#endif // QUETZALLEAD_TESTS_RELAY_PATHECHOSERVER_H
