relay: a watch whose response is lost is noticed before a server's time is over

Cause: a watch waited 25 s, and its loss showed only 2 s after that. A store that loses the response keeps the connection open, so that the loss looks like a prefix without changes; the class is silence taken for 'nothing new' for longer than a change may take effect.

Change: RevisionedStore::watch takes a timeout of its own. The sheet's and the servers' watches count as lost after LeavingTime less the margin for calls in transit (2.4 s of 3 s), and everything is read again, as after other failures. That holds wherever the response is lost, without a rule for outages.

--- a/src/relay/PrefixWatcher.cpp
+++ b/src/relay/PrefixWatcher.cpp
@@ -8,6 +8,9 @@
 static constexpr Duration InitialBackoff = absl::Milliseconds(50);
 static constexpr Duration MaxBackoff = absl::Milliseconds(800);
 static constexpr int MaxBackoffDoublings = 6;
+/// Time within which the store's response arrives once a watch has ended.
+static constexpr Duration WatchResponseMargin = absl::Milliseconds(600);
+static constexpr Duration MinWatchWait = absl::Milliseconds(100);
 
 PrefixWatcher::PrefixWatcher(RevisionedStore &GivenStore,
                              LoopTimers &GivenTimers,
@@ -82,8 +85,11 @@
 }
 
 void PrefixWatcher::watch() {
-  Store.watch(Options.Prefix, Revision,
-              FirstWatch ? Options.FirstWatchWait : Options.WatchWait,
+  const Duration LongestWait =
+      std::max(MinWatchWait, Options.MaxSilence - WatchResponseMargin);
+  const Duration Wait =
+      FirstWatch ? std::min(Options.FirstWatchWait, LongestWait) : LongestWait;
+  Store.watch(Options.Prefix, Revision, Wait, Wait + WatchResponseMargin,
               [this](const StorePage &Page) { onWatch(Page); });
 }
 
--- a/src/relay/PrefixWatcher.h
+++ b/src/relay/PrefixWatcher.h
@@ -17,10 +17,13 @@
   /// Delay from receiving changes to the next watch, so that changes in quick
   /// succession arrive in one response.
   Duration BatchDelay = absl::ZeroDuration();
-  /// Time after which the store ends a watch without changes.
-  Duration WatchWait = absl::Seconds(25);
-  /// WatchWait of the first watch after a snapshot read: if the store compacts
-  /// its history between the two, the watch sees no change until it ends.
+  /// Time after which a watch without a response counts as lost. A store that
+  /// loses a response need not close the connection, and until then the loss
+  /// looks like a prefix without changes.
+  Duration MaxSilence = absl::Milliseconds(2400);
+  /// Longest wait of the first watch after a snapshot read: if the store
+  /// compacts its history between the two, the watch sees no change until it
+  /// ends.
   Duration FirstWatchWait = absl::Seconds(1);
   /// Seed of the backoff jitter.
   std::uint64_t Seed = 1;
@@ -56,7 +59,7 @@
   /// Whether all keys have been read at least once.
   bool hasSnapshot() const { return SnapshotReceived; }
   /// Time of the last response that was not a failure. A watch without changes
-  /// responds only at the end of its wait.
+  /// responds at the end of its wait.
   TimePoint lastResponseAt() const { return LastResponseAt; }
 
 private:
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -29,6 +29,9 @@
 /// Part of Settings.LeavingTime that is reserved for store calls and requests
 /// in transit.
 static constexpr Duration DrainMargin = absl::Milliseconds(600);
+/// Least time after which a watch without a response counts as lost, however
+/// short Settings.LeavingTime is: each watch is a call to the store.
+static constexpr Duration MinStoreSilence = absl::Seconds(1);
 /// Interval at which the progress of a shutdown is checked.
 static constexpr Duration ShutdownPollInterval = absl::Milliseconds(50);
 /// One in this many successful requests is logged, as a baseline to compare
@@ -66,6 +69,13 @@
   return Options;
 }
 
+/// How long the store may be silent before what is followed there is read
+/// again. A server whose leaving is missed must not get requests after
+/// Settings.LeavingTime.
+static Duration maxStoreSilence(const RelaySettings &S) {
+  return std::max(MinStoreSilence, S.LeavingTime - DrainMargin);
+}
+
 /// How long a server that vanished from the store while the store was healthy
 /// may still return. Limited so that the last request reaches the server while
 /// it still serves, that is within Settings.LeavingTime.
@@ -282,6 +292,7 @@
   PrefixWatchOptions SheetOptions;
   SheetOptions.Prefix = Environment.SheetKey;
   SheetOptions.BatchDelay = SheetBatchDelay;
+  SheetOptions.MaxSilence = maxStoreSilence(Settings);
   SheetOptions.Seed = Seed;
   SheetWatcher = std::make_unique<PrefixWatcher>(*Store, Timers, SheetOptions,
                                                  std::move(SheetHandlers));
@@ -308,6 +319,7 @@
   PrefixWatchOptions ServerOptions;
   ServerOptions.Prefix = Environment.ServersPrefix;
   ServerOptions.BatchDelay = ServerBatchDelay;
+  ServerOptions.MaxSilence = maxStoreSilence(Settings);
   ServerOptions.Seed = Seed + 1;
   ServerWatcher = std::make_unique<PrefixWatcher>(*Store, Timers, ServerOptions,
                                                   std::move(ServerHandlers));
--- a/src/relay/RevisionedStore.h
+++ b/src/relay/RevisionedStore.h
@@ -22,9 +22,10 @@
   virtual void read(const std::string &Prefix, const std::string &AfterKey,
                     bool AllowStale, PageCallback Done) = 0;
   /// Returns the changes after \p Revision as soon as there are any, or none
-  /// after \p Wait.
+  /// after \p Wait. Ends with Unknown if there is no response after
+  /// \p Timeout.
   virtual void watch(const std::string &Prefix, std::uint64_t Revision,
-                     Duration Wait, PageCallback Done) = 0;
+                     Duration Wait, Duration Timeout, PageCallback Done) = 0;
   virtual void grantLease(Duration Ttl, ReplyCallback Done) = 0;
   virtual void renewLease(std::uint64_t Lease, ReplyCallback Done) = 0;
   virtual void endLease(std::uint64_t Lease, ReplyCallback Done) = 0;
--- a/tests/relay/PlatformStoreTest.cpp
+++ b/tests/relay/PlatformStoreTest.cpp
@@ -87,7 +87,8 @@
                        "removed": true}], "current_rev": 4})");
   const auto Page =
       await<StorePage>([this](RevisionedStore::PageCallback Done) {
-        Store.watch("k", 3, absl::Seconds(20), std::move(Done));
+        Store.watch("k", 3, absl::Seconds(20), absl::Seconds(21),
+                    std::move(Done));
       });
   ASSERT_EQ(Page.Items.size(), 1u);
   EXPECT_TRUE(Page.Items[0].Removed);
--- a/tests/relay/RelayDaemonTest.cpp
+++ b/tests/relay/RelayDaemonTest.cpp
@@ -56,7 +56,7 @@
           5, false}};
     Done(Page);
   }
-  void watch(const std::string &, std::uint64_t, Duration,
+  void watch(const std::string &, std::uint64_t, Duration, Duration,
              PageCallback) override {}
   void grantLease(Duration, ReplyCallback Done) override {
     Done(StoreReply{StoreOutcome::Done, 1});
--- a/tests/relay/ScriptedStore.h
+++ b/tests/relay/ScriptedStore.h
@@ -19,6 +19,7 @@
     ReplyCallback OnReply;
     /// Set for a watch.
     Duration Wait = absl::ZeroDuration();
+    Duration Timeout = absl::ZeroDuration();
   };
 
   void read(const std::string &Prefix, const std::string &AfterKey,
@@ -30,8 +31,9 @@
                      {}});
   }
   void watch(const std::string &Prefix, std::uint64_t Revision, Duration Wait,
-             PageCallback Done) override {
-    Calls.push_back({"watch", Prefix, Revision, std::move(Done), {}, Wait});
+             Duration Timeout, PageCallback Done) override {
+    Calls.push_back(
+        {"watch", Prefix, Revision, std::move(Done), {}, Wait, Timeout});
   }
   void grantLease(Duration, ReplyCallback Done) override {
     Calls.push_back({"grant", "", 0, {}, std::move(Done)});
--- a/tests/relay/StoreOutageTest.cpp
+++ b/tests/relay/StoreOutageTest.cpp
@@ -14,19 +14,23 @@
 
 namespace {
 
-const char *const Sheet = R"({"version": 3, "routes": [
-  {"name": "r", "host": "h", "prefix": "/", "type": "idempotent",
-   "timeout_ms": 3000, "slo_ms": 1000, "priority": 1, "service": "x",
-   "max_attempts": 2}],
-  "services": [{"name": "x", "max_conns": 26}],
-  "limits": {"max_header_bytes": 2000, "max_body_bytes": 1000,
-             "header_timeout_ms": 300, "idle_timeout_ms": 2000}})";
+/// A sheet with one route, for paths that begin with \p Prefix.
+std::string sheet(int Version, const std::string &Prefix) {
+  return absl::StrCat(R"({"version": )", Version, R"(, "routes": [
+    {"name": "r", "host": "h", "prefix": ")",
+                      Prefix, R"(", "type": "idempotent",
+     "timeout_ms": 3000, "slo_ms": 1000, "priority": 1, "service": "x",
+     "max_attempts": 2}],
+    "services": [{"name": "x", "max_conns": 26}],
+    "limits": {"max_header_bytes": 2000, "max_body_bytes": 1000,
+               "header_timeout_ms": 300, "idle_timeout_ms": 2000}})");
+}
 
 /// Runs a relay that follows a store over HTTP, with one backend server.
 class StoreOutageTest : public testing::Test {
 protected:
   StoreOutageTest() {
-    Store.put("op/config", Sheet);
+    Store.put("op/config", sheet(3, "/"));
     putServer("i-1", "ready");
     RelaySettings Settings;
     Settings.Instance = "i";
@@ -108,3 +112,19 @@
   absl::SleepFor(LeavingTime);
   EXPECT_EQ(ask(), 503u);
 }
+
+TEST_F(StoreOutageTest, LostWatchResponseDoesNotHideASheet) {
+  await([&] { return ask() == 200; });
+  await([&] { return Store.watched("op/config"); });
+  // Ends the first watch, which is a short one.
+  Store.put("op/config", sheet(4, "/"));
+  await([&] { return !Store.watched("op/config"); });
+  await([&] { return Store.watched("op/config"); });
+  Store.setSilent(true);
+  Store.put("op/config", sheet(5, "/"));
+  absl::SleepFor(absl::Milliseconds(50));
+  Store.setSilent(false);
+  Store.put("op/config", sheet(6, "/b"));
+  absl::SleepFor(LeavingTime);
+  EXPECT_EQ(ask(), 404u);
+}
