--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -265,14 +265,22 @@
   return Entries;
 }
 
+/// Logs that \p What is no longer followed, and the age of what is known of it;
+/// -1 if nothing is.
+static void logStoreLost(const char *What, StoreOutcome Outcome,
+                         const PrefixWatcher &Watcher) {
+  const TimePoint Since = Watcher.lastResponseAt();
+  const std::int64_t AgeMs =
+      Since == absl::InfinitePast()
+          ? -1
+          : absl::ToInt64Milliseconds(LoopTimers::now() - Since);
+  logEvent(LogLevel::Warning, "store_lost",
+           {{"following", What},
+            {"outcome", nameOf(StoreOutcomeNames, Outcome)},
+            {"age_ms", AgeMs}});
+}
+
 void RelayDaemon::followStore() {
-  auto UnavailableLogger = [](const char *What) {
-    return [What](StoreOutcome Outcome) {
-      logEvent(LogLevel::Warning, "store_lost",
-               {{"following", What},
-                {"outcome", nameOf(StoreOutcomeNames, Outcome)}});
-    };
-  };
   const auto Seed = absl::Hash<std::string>()(Settings.Instance);
   PrefixWatchHandlers SheetHandlers;
   SheetHandlers.OnSnapshot = [this](const std::vector<StoreItem> &Items,
@@ -280,10 +288,9 @@
   SheetHandlers.OnChanges = [this](const std::vector<StoreItem> &Items) {
     updateSheet(Items);
   };
-  SheetHandlers.OnUnavailable = [this, LogUnavailable = UnavailableLogger(
-                                           "sheet")](StoreOutcome Outcome) {
+  SheetHandlers.OnUnavailable = [this](StoreOutcome Outcome) {
     Contact.onLost(FollowedData::Sheet, LoopTimers::now());
-    LogUnavailable(Outcome);
+    logStoreLost("sheet", Outcome, *SheetWatcher);
   };
   SheetHandlers.OnAvailable = [this] {
     Contact.onBack(FollowedData::Sheet);
@@ -305,11 +312,10 @@
   ServerHandlers.OnChanges = [this](const std::vector<StoreItem> &Items) {
     applyServerChanges(Feed.apply(decodeServers(Items), LoopTimers::now()));
   };
-  ServerHandlers.OnUnavailable = [this, LogUnavailable = UnavailableLogger(
-                                            "servers")](StoreOutcome Outcome) {
+  ServerHandlers.OnUnavailable = [this](StoreOutcome Outcome) {
     Contact.onLost(FollowedData::Servers, LoopTimers::now());
     Feed.onSourceUnavailable(LoopTimers::now());
-    LogUnavailable(Outcome);
+    logStoreLost("servers", Outcome, *ServerWatcher);
   };
   ServerHandlers.OnAvailable = [this] {
     Contact.onBack(FollowedData::Servers);
