relay: a server that says in an answer that it leaves gets no new request

The store alone tells it late, or not at all while it is away or comes back older.

The head of each response, also of failures, broken and late answers, is shown to the attempt's codec (HttpExchange::OnHead). LeavingServers remembers the incarnations by id, address and start time; RelayState takes them for draining whatever the feed says, until another incarnation registers. Requests are checked when they get their server, so that waiting, hedged and repeated ones are too. The header is not passed on: an instance that forwards would take it for the word of its home.

Also LeavingServersTest and RelayMessagesTest.ServerSaysThatItLeavesByOneValueOnly; RelaysResponseUnchanged now has the header in its input. RelayWithStore is the fixture of StoreOutageTest, moved out; its await() asked once more after the condition had held.

--- a/src/cli/LogStory.cpp
+++ b/src/cli/LogStory.cpp
@@ -42,6 +42,7 @@
     {"sheet_not_newer", "a sheet was not newer than the one in force", true},
     {"sheet_refused", "a sheet could not be read", true},
     {"server_word", "the feed told of a server", false},
+    {"server_leaving", "a server said that it leaves", false},
     {"server_unreachable", "a server went out of reach", false},
     {"server_reachable", "a server came back into reach", false},
     {"server_entry_unreadable", "an entry of the feed names no server", false},
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -185,12 +185,14 @@
     }
     if (!Change.Server)
       continue;
-    ServiceOf[Change.Id] = Change.Server->Service;
-    BackendPool &Pool = *service(Change.Server->Service).Pool;
+    DiscoveredServer Info = *Change.Server;
+    Info.Draining = Info.Draining || Leaving.contains(Info);
+    ServiceOf[Change.Id] = Info.Service;
+    BackendPool &Pool = *service(Info.Service).Pool;
     auto Previous = Pool.servers().find(Change.Id);
     const ServerRef OldServer =
         Previous == Pool.servers().end() ? nullptr : Previous->second;
-    Pool.upsert(*Change.Server, Now);
+    Pool.upsert(Info, Now);
     const ServerRef &NewServer = Pool.servers().at(Change.Id);
     if (NewServer != OldServer && NewServer->AcceptsAttempts)
       NewServers.push_back(NewServer);
@@ -200,6 +202,11 @@
   return NewServers;
 }
 
+bool RelayState::markLeaving(const ServerRef &Server) {
+  Server->AcceptsAttempts = false;
+  return Leaving.add(Server->Info);
+}
+
 void RelayState::setInstanceCount(int Count, int NewHomeCount,
                                   bool NewSelfIsHome, TimePoint Now) {
   Instances = std::max(1, Count);
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -4,6 +4,7 @@
 #include "core/relay/BackendPool.h"
 #include "core/relay/ExtraLoadBudget.h"
 #include "core/relay/HomeSelection.h"
+#include "core/relay/LeavingServers.h"
 #include "core/relay/RelayRequest.h"
 #include "core/relay/RouteTable.h"
 #include "core/relay/ServerFeed.h"
@@ -49,6 +50,10 @@
   /// or in a new incarnation and may receive requests.
   std::vector<ServerRef>
   applyFeedChanges(const std::vector<FeedChange> &Changes, TimePoint Now);
+  /// Handles the word of \p Server itself that it is leaving: it gets no new
+  /// attempts, whatever the discovery feed says of this incarnation. Returns
+  /// false if that was known. Call grantPermits() afterwards.
+  bool markLeaving(const ServerRef &Server);
   /// Sets the number of instances that may connect to backend servers and how
   /// many of them are homes, which share what the limits allow; \p SelfIsHome
   /// tells whether this one is. The others get one connection to each server,
@@ -103,6 +108,7 @@
   std::map<std::string, Service> Services;
   /// Service name by server ID.
   std::map<std::string, std::string> ServiceOf;
+  LeavingServers Leaving;
   std::map<std::string, std::shared_ptr<RouteStats>> Stats;
   Service Homes;
   /// Response times of homes, by route name.
--- a/src/relay/AttemptCodec.h
+++ b/src/relay/AttemptCodec.h
@@ -2,6 +2,7 @@
 #define QUETZALLEAD_RELAY_ATTEMPTCODEC_H
 
 #include "core/relay/BackendResponse.h"
+#include "core/relay/PoolServer.h"
 #include "relay/ForwardedRequest.h"
 #include "relay/HttpExchange.h"
 #include <functional>
@@ -9,8 +10,6 @@
 
 namespace quetzallead {
 
-struct PoolServer;
-
 /// What an attempt carries besides the caller's request.
 struct AttemptToEncode {
   const PoolServer &Server;
@@ -30,6 +29,11 @@
   std::function<AttemptEnd(const ForwardedRequest &,
                            const HttpExchangeResult &)>
       Decode;
+  /// Called with the head of each response, also if the attempt is late, has
+  /// lost against a hedge or ends without a whole response; may be empty.
+  std::function<void(const std::shared_ptr<PoolServer> &,
+                     const HttpResponseHead &)>
+      OnHead;
   /// The peer acknowledges a request that it has read.
   bool Acknowledged = false;
 };
--- a/src/relay/HeaderNames.h
+++ b/src/relay/HeaderNames.h
@@ -22,6 +22,8 @@
   std::string PartStamps;
   /// Number of shards missing from a survey's response.
   std::string MissingParts;
+  /// "1" in the responses of a backend server that is leaving.
+  std::string Leaving;
   /// Load of a backend server as "running,waiting,slots".
   std::string Load;
 };
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -72,6 +72,7 @@
 }
 
 void HttpConnection::resetParser() {
+  HeadReported = false;
   ResponseParser.emplace();
   ResponseParser->eager(true);
   ResponseParser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
@@ -156,6 +157,15 @@
     read();
 }
 
+void HttpConnection::reportHead() {
+  if (HeadReported || !Current.OnHead || !ResponseParser->is_header_done())
+    return;
+  HeadReported = true;
+  const auto &Head = ResponseParser->get().base();
+  if (http::to_status_class(Head.result()) != http::status_class::informational)
+    Current.OnHead(Head);
+}
+
 void HttpConnection::parse(absl::string_view Bytes) {
   if (!Unparsed.empty()) {
     Unparsed.append(Bytes.data(), Bytes.size());
@@ -167,6 +177,7 @@
     const std::size_t Consumed = ResponseParser->put(
         asio::buffer(Bytes.data() + Offset, Bytes.size() - Offset), EC);
     Offset += Consumed;
+    reportHead();
     if (EC == http::error::need_more || (!EC && Consumed == 0))
       break;
     if (EC) {
--- a/src/relay/HttpConnection.h
+++ b/src/relay/HttpConnection.h
@@ -68,6 +68,8 @@
   void read();
   void onBytes(std::size_t Count);
   void onReadEnd(bool AtEof);
+  /// Passes the head of a final response to OnHead once it is complete.
+  void reportHead();
   /// Feeds \p Bytes to the parser; completes the exchange with the response.
   void parse(absl::string_view Bytes);
   void complete(bool Reusable);
@@ -86,6 +88,8 @@
   /// True while the bytes of Current are being written.
   bool Writing = false;
   bool AnyBytesSent = false;
+  /// The head of the response in the parser has been passed to OnHead.
+  bool HeadReported = false;
   std::optional<Parser> ResponseParser;
   std::string Unparsed;
   std::shared_ptr<LoopTimers::Subscription> Timer;
--- a/src/relay/HttpExchange.h
+++ b/src/relay/HttpExchange.h
@@ -13,6 +13,7 @@
 
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
+using HttpResponseHead = boost::beast::http::response_header<>;
 
 /// An encoded request and how to read its response.
 struct HttpExchange {
@@ -26,6 +27,9 @@
   std::string EchoValue;
   /// Called for each informational (1xx) response; may be empty.
   std::function<void()> OnInformational;
+  /// Called with the head of the final response before its body is complete;
+  /// may be empty. Must not close the connection.
+  std::function<void(const HttpResponseHead &)> OnHead;
 };
 
 /// Result of an exchange: Answered with Response, or one of NotSent, Lost,
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -119,6 +119,11 @@
                                const HttpExchangeResult &End) {
     return decodeExchangeResult(End, Environment.Headers);
   };
+  BackendCodec.OnHead = [this](const ServerRef &Server,
+                               const HttpResponseHead &Head) {
+    if (saysLeaving(Head, Environment.Headers))
+      onServerLeaving(Server);
+  };
   LinkCodec.Acknowledged = true;
   LinkCodec.Encode = [this](const ForwardedRequest &Call,
                             const AttemptToEncode &Attempt) {
@@ -520,6 +525,19 @@
   scheduleServerExpiry();
 }
 
+void RelayDaemon::onServerLeaving(const ServerRef &Server) {
+  if (!State.markLeaving(Server))
+    return;
+  logEvent(LogLevel::Info, "server_leaving",
+           {{"server", Server->Info.Id}, {"service", Server->Info.Service}});
+  Metrics.serverLeaving();
+  // Neither may run while the response is being parsed.
+  asio::post(Loop, [this] {
+    Backends.closeRemovedServers();
+    State.grantPermits(LoopTimers::now());
+  });
+}
+
 void RelayDaemon::scheduleServerExpiry() {
   const TimePoint Due = Feed.nextExpiry();
   ExpiryTimer.reset();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -49,6 +49,8 @@
   void updateSheet(const std::vector<StoreItem> &Items);
   /// Applies changes of the discovery feed to the pools and connections.
   void applyServerChanges(const std::vector<FeedChange> &Changes);
+  /// Handles the word of a backend server that it is leaving.
+  void onServerLeaving(const ServerRef &Server);
   /// Sets the timer that removes servers whose time to return has passed.
   void scheduleServerExpiry();
   void onRequest(const std::shared_ptr<CallerSession> &Caller,
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 #include "core/relay/RecordMerge.h"
+#include <algorithm>
 #include <boost/beast/http/status.hpp>
 
 namespace quetzallead {
@@ -104,6 +105,13 @@
   return std::nullopt;
 }
 
+bool saysLeaving(const HttpResponseHead &Head, const HeaderNames &Names) {
+  const auto Range = Head.equal_range(Names.Leaving);
+  return std::any_of(Range.first, Range.second, [](const auto &Field) {
+    return absl::StripAsciiWhitespace(view(Field.value())) == "1";
+  });
+}
+
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
                                 const HeaderNames &Names) {
   AttemptEnd Out;
@@ -129,7 +137,10 @@
   auto Answer = std::make_shared<BackendResponse>();
   Answer->Status = Response.result_int();
   Answer->Reason = std::string(view(Response.reason()));
-  Answer->Headers = endToEndHeaders(Response, {"content-length", LinkHeader});
+  // That the server leaves concerns this instance. Passed on, it would look to
+  // another instance like the word of the home that it asked.
+  Answer->Headers =
+      endToEndHeaders(Response, {"content-length", LinkHeader, Names.Leaving});
   std::uint64_t Length = 0;
   if (absl::SimpleAtoi(view(Response[http::field::content_length]), &Length))
     Answer->HeadContentLength = Length;
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -30,6 +30,9 @@
                           const HeaderNames &Names, const std::string &ServerId,
                           Duration TimeLeft);
 
+/// Whether a backend server says in \p Head that it is leaving.
+bool saysLeaving(const HttpResponseHead &Head, const HeaderNames &Names);
+
 /// Interprets a finished exchange with a backend server. Moves the body out of
 /// the response.
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -94,6 +94,7 @@
   }
   void attemptEnded(const std::string &Service, AttemptCause Cause,
                     AttemptResult Result, Duration Elapsed);
+  void serverLeaving() { LeavingCount.Increment(); }
   std::string serialize(const RelaySnapshot &Snapshot);
 
 private:
@@ -153,6 +154,10 @@
       WithheldHedges.Add({{"reason", "budget"}});
   Counter &HedgesWithoutServerCount =
       WithheldHedges.Add({{"reason", "no_server"}});
+  Counter &LeavingCount =
+      counterFamily("quetzallead_servers_leaving_total",
+                    "Backend servers whose responses said that they leave.")
+          .Add({});
   Family<Gauge> &Ready = gaugeFamily("quetzallead_ready", "1 while ready.");
   Family<Gauge> &SheetVersion = gaugeFamily("quetzallead_sheet_version",
                                             "Version of the sheet in force.");
@@ -288,6 +293,8 @@
   Impl->requestRejected(Reason);
 }
 
+void RelayMetrics::serverLeaving() { Impl->serverLeaving(); }
+
 void RelayMetrics::attemptEnded(const std::string &Service, AttemptCause Cause,
                                 AttemptResult Result, Duration Elapsed) {
   Impl->attemptEnded(Service, Cause, Result, Elapsed);
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -28,6 +28,8 @@
   void requestRejected(RejectReason Reason);
   void attemptEnded(const std::string &Service, AttemptCause Cause,
                     AttemptResult Result, Duration Elapsed);
+  /// A backend server has said for the first time that it is leaving.
+  void serverLeaving();
   /// All metrics in the text format of Prometheus. The gauges are set
   /// from \p Snapshot.
   std::string serialize(const RelaySnapshot &Snapshot);
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -80,6 +80,11 @@
         Session->updateTimer();
       }
     };
+  if (Context.Codec.OnHead)
+    Exchange.OnHead = [&Codec = Context.Codec,
+                       Server = Action.Server](const HttpResponseHead &Head) {
+      Codec.OnHead(Server, Head);
+    };
   Connections[Attempt] =
       Context.Backends.send(Action.Server, std::move(Exchange),
                             [Self, Attempt](const HttpExchangeResult &End) {
--- a/tests/relay/PathEchoServer.h
+++ b/tests/relay/PathEchoServer.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <mutex>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -14,7 +15,8 @@
 namespace quetzallead {
 
 /// A backend server that responds to each request with the request's path,
-/// after 500 ms if the path is "/slow". Uses one thread per connection.
+/// after 500 ms if the path is "/slow", or as set. Uses one thread per
+/// connection.
 class PathEchoServer {
 public:
   PathEchoServer()
@@ -45,10 +47,27 @@
     return "127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
   }
 
+  /// Sets the status, such as "200 OK", and further header lines.
+  void setResponse(const std::string &GivenStatus,
+                   const std::string &GivenHeaders) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Status = GivenStatus;
+    Headers = GivenHeaders;
+  }
+
+  /// Closes the connection after the first byte of each body.
+  std::atomic<bool> BreaksOff{false};
+  std::atomic<int> Requests{0};
   /// Requests whose connection was closed before the response was sent.
   std::atomic<int> DisconnectedRequests{0};
 
 private:
+  std::string responseHead(std::size_t Bytes) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return "HTTP/1.1 " + Status + "\r\nServer-Stamp: s\r\n" + Headers +
+           "Content-Length: " + std::to_string(Bytes) + "\r\n\r\n";
+  }
+
   void serve(boost::asio::ip::tcp::socket &Peer) {
     std::string Buffer;
     for (;;) {
@@ -59,6 +78,7 @@
         return;
       const std::string Head = Buffer.substr(0, End);
       Buffer.erase(0, End);
+      ++Requests;
       const std::string Path = Head.substr(4, Head.find(' ', 4) - 4);
       if (Path == "/slow")
         std::this_thread::sleep_for(std::chrono::milliseconds(500));
@@ -67,11 +87,11 @@
         ++DisconnectedRequests;
         return;
       }
-      const std::string Answer =
-          "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: " +
-          std::to_string(Path.size()) + "\r\n\r\n" + Path;
-      boost::asio::write(Peer, boost::asio::buffer(Answer), Fault);
-      if (Fault)
+      const std::string Answer = responseHead(Path.size()) + Path;
+      const std::size_t Omitted = BreaksOff ? Path.size() - 1 : 0;
+      boost::asio::write(
+          Peer, boost::asio::buffer(Answer, Answer.size() - Omitted), Fault);
+      if (Fault || BreaksOff)
         return;
     }
   }
@@ -79,6 +99,9 @@
   boost::asio::io_context Loop;
   boost::asio::ip::tcp::acceptor Listener;
   std::atomic<bool> Stopped{false};
+  std::mutex Mutex;
+  std::string Status = "200 OK";
+  std::string Headers;
   std::thread AcceptThread;
   std::vector<std::thread> ConnectionThreads;
 };
--- a/tests/relay/RelayCoreTest.cpp
+++ b/tests/relay/RelayCoreTest.cpp
@@ -1,4 +1,5 @@
 #include "core/relay/ExtraLoadBudget.h"
+#include "core/relay/LeavingServers.h"
 #include "core/relay/RecordMerge.h"
 #include "core/relay/RouteTable.h"
 #include "core/relay/ServerFeed.h"
@@ -93,6 +94,42 @@
   EXPECT_EQ(Counts, (std::vector<int>{500, 300, 200, 0}));
 }
 
+TEST(LeavingServersTest, IncarnationsDifferByAddressOrStartTime) {
+  LeavingServers Leaving;
+  DiscoveredServer S;
+  S.Id = "a";
+  S.Address = "10.0.0.1:1";
+  S.StartedAtMillis = 5;
+  EXPECT_TRUE(Leaving.add(S));
+  EXPECT_FALSE(Leaving.add(S));
+  DiscoveredServer Other = S;
+  Other.StartedAtMillis = 0;
+  EXPECT_TRUE(Leaving.contains(Other));
+  Other.StartedAtMillis = 6;
+  EXPECT_FALSE(Leaving.contains(Other));
+  Other = S;
+  Other.Address = "10.0.0.2:1";
+  EXPECT_FALSE(Leaving.contains(Other));
+  Other = S;
+  Other.Id = "b";
+  EXPECT_FALSE(Leaving.contains(Other));
+}
+
+TEST(LeavingServersTest, ForgetsTheOldestIncarnationsFirst) {
+  LeavingServers Leaving;
+  DiscoveredServer S;
+  S.Id = "a";
+  for (std::size_t I = 0; I <= LeavingServers::MaxIncarnations; ++I) {
+    S.StartedAtMillis = static_cast<std::int64_t>(I) + 1;
+    EXPECT_TRUE(Leaving.add(S));
+  }
+  EXPECT_TRUE(Leaving.contains(S));
+  S.StartedAtMillis = 2;
+  EXPECT_TRUE(Leaving.contains(S));
+  S.StartedAtMillis = 1;
+  EXPECT_FALSE(Leaving.contains(S));
+}
+
 TEST(ServerFeedTest, NewerRevisionsWin) {
   ServerFeed Feed(absl::Seconds(2), absl::ZeroDuration());
   Feed.apply({entryOf("a", 5)}, Start);
--- a/tests/relay/RelayMessagesTest.cpp
+++ b/tests/relay/RelayMessagesTest.cpp
@@ -92,7 +92,7 @@
   const HeaderNames Names = platformHeaderNames();
   const AttemptEnd End = decodeExchangeResult(
       parseResponse("HTTP/1.1 201 Made So\r\nServer-Stamp: s\r\n"
-                    "Connection: close\r\nX-A: 1\r\n"
+                    "Connection: close\r\nX-A: 1\r\nServer-Leaving: 1\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n"
                     "2\r\nok\r\n0\r\n\r\n"),
       Names);
@@ -104,6 +104,24 @@
             "Content-Length: 2\r\n\r\nok");
 }
 
+TEST(RelayMessagesTest, ServerSaysThatItLeavesByOneValueOnly) {
+  const HeaderNames Names = platformHeaderNames();
+  const std::pair<const char *, bool> Cases[] = {
+      {"Server-Leaving: 1\r\n", true},
+      {"server-leaving:  1 \r\n", true},
+      {"Server-Leaving: 0\r\nServer-Leaving: 1\r\n", true},
+      {"Server-Leaving: 0\r\n", false},
+      {"Server-Leaving: 11\r\n", false},
+      {"Server-Leaving:\r\n", false},
+      {"X: 1\r\n", false}};
+  for (const auto &[Header, Leaves] : Cases) {
+    const HttpExchangeResult End =
+        parseResponse(std::string("HTTP/1.1 200 OK\r\n") + Header +
+                      "Content-Length: 0\r\n\r\n");
+    EXPECT_EQ(saysLeaving(*End.Response, Names), Leaves) << Header;
+  }
+}
+
 TEST(RelayMessagesTest, SurveyResponseListsItsParts) {
   const HeaderNames Names = platformHeaderNames();
   RelayResult Verdict;
--- a/tests/relay/StoreOutageTest.cpp
+++ b/tests/relay/StoreOutageTest.cpp
@@ -1,97 +1,10 @@
-#include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
-#include "platform/PlatformDeployment.h"
-#include "relay/FakeStore.h"
-#include "relay/PathEchoServer.h"
-#include "relay/RelayDaemon.h"
-#include <boost/asio/read_until.hpp>
-#include <csignal>
-#include <gtest/gtest.h>
-#include <thread>
+#include "relay/RelayWithStore.h"
 
 using namespace quetzallead;
-using boost::asio::ip::tcp;
 
 namespace {
 
-/// A sheet with one route, for paths that begin with \p Prefix.
-std::string sheet(int Version, const std::string &Prefix) {
-  return absl::StrCat(R"({"version": )", Version, R"(, "routes": [
-    {"name": "r", "host": "h", "prefix": ")",
-                      Prefix, R"(", "type": "idempotent",
-     "timeout_ms": 3000, "slo_ms": 1000, "priority": 1, "service": "x",
-     "max_attempts": 2}],
-    "services": [{"name": "x", "max_conns": 26}],
-    "limits": {"max_header_bytes": 2000, "max_body_bytes": 1000,
-               "header_timeout_ms": 300, "idle_timeout_ms": 2000}})");
-}
-
-/// Runs a relay that follows a store over HTTP, with one backend server.
-class StoreOutageTest : public testing::Test {
-protected:
-  StoreOutageTest() {
-    Store.put("op/config", sheet(3, "/"));
-    putServer("i-1", "ready");
-    RelaySettings Settings;
-    Settings.Instance = "i";
-    Settings.Zone = "a";
-    CallerPort = freePort();
-    Settings.CallerListen = absl::StrCat("127.0.0.1:", CallerPort);
-    Settings.ReadinessListen = absl::StrCat("127.0.0.1:", freePort());
-    Settings.StoreAddress = Store.address();
-    Settings.StopGrace = absl::Seconds(3);
-    LeavingTime = Settings.LeavingTime;
-    Relay = std::make_unique<RelayDaemon>(Settings, platformDeployment());
-    auto Bound = capture([&] { return Relay->listen(); });
-    EXPECT_TRUE(std::holds_alternative<bool>(Bound));
-    RelayThread = std::thread([this] { Relay->run(); });
-  }
-  ~StoreOutageTest() override {
-    std::raise(SIGTERM);
-    RelayThread.join();
-    Relay.reset();
-  }
-
-  void putServer(const std::string &Id, const std::string &State) {
-    Store.put("servers/" + Id,
-              absl::StrCat(R"({"service": "x", "zone": "a", "slots": 8, )",
-                           R"("state": ")", State, R"(", "address": ")",
-                           Backend.address(), "\"}"));
-  }
-
-  /// Sends a request on a new connection and returns the status.
-  unsigned ask() {
-    tcp::socket Caller(Loop);
-    Caller.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
-                                 static_cast<std::uint16_t>(CallerPort)));
-    const std::string Request = "GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: 1"
-                                "\r\nDeadline-Ms: 2500\r\n\r\n";
-    boost::asio::write(Caller, boost::asio::buffer(Request));
-    std::string Text;
-    boost::system::error_code Fault;
-    boost::asio::read_until(Caller, boost::asio::dynamic_buffer(Text),
-                            "\r\n\r\n", Fault);
-    return Text.size() < 12
-               ? 0
-               : static_cast<unsigned>(std::stoul(Text.substr(9, 3)));
-  }
-
-  /// Waits until \p Condition holds; fails after ten seconds.
-  template <typename Fn> static void await(Fn Condition) {
-    const absl::Time GiveUpAt = absl::Now() + absl::Seconds(10);
-    while (!Condition() && absl::Now() < GiveUpAt)
-      absl::SleepFor(absl::Milliseconds(5));
-    ASSERT_TRUE(Condition());
-  }
-
-  boost::asio::io_context Loop;
-  FakeStore Store;
-  PathEchoServer Backend;
-  Duration LeavingTime;
-  int CallerPort = 0;
-  std::unique_ptr<RelayDaemon> Relay;
-  std::thread RelayThread;
-};
+class StoreOutageTest : public RelayWithStore {};
 
 } // namespace
 
