relay: a server that asks for a pause gets no requests in it

The relay ejected such a server for one expected response time, and used it as a last resort even then.

The head of each 503 is read (requestedPause), and ServerPause keeps the end of the longest time and the attempts sent in it. RelayState lets a server that is removed and listed again continue its pause. If all servers of a service are paused, requests are rejected at once with a Retry-After that ends with the pause, spaced by the service rate; surveys leave the shard out.

ServerPauseStateTest holds the bound of two over random schedules.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -83,8 +83,8 @@
 }
 
 bool BackendPool::eligible(const PoolServer &S,
-                           const AttemptPermitRequest &Request) const {
-  if (!S.AcceptsAttempts)
+                           const AttemptPermitRequest &Request, TimePoint Now) {
+  if (!S.AcceptsAttempts || !permitsAttempt(S.Pause, Now))
     return false;
   return std::none_of(Request.Excluded.begin(), Request.Excluded.end(),
                       [&](const ServerRef &E) { return E.get() == &S; });
@@ -95,6 +95,8 @@
     return ServerState::Leaving;
   if (S.Unreachable)
     return ServerState::Unreachable;
+  if (isPaused(S.Pause, Now))
+    return ServerState::Paused;
   if (Now < S.EjectedUntil)
     return ServerState::Ejected;
   return S.overdue(Now) ? ServerState::Overdue : ServerState::Healthy;
@@ -189,6 +191,7 @@
     return Tier::Overdue;
   case ServerState::Ejected:
   case ServerState::Unreachable:
+  case ServerState::Paused:
   case ServerState::Leaving:
     break;
   }
@@ -201,7 +204,7 @@
   Tier BestTier = Tier::LastResort;
   double BestScore = 0;
   for (const auto &[Id, S] : Servers) {
-    if (!eligible(*S, Request))
+    if (!eligible(*S, Request, Now))
       continue;
     const Tier T = tierOf(state(*S, Now));
     if (!Request.AllowUnhealthy &&
@@ -228,6 +231,8 @@
   const Duration Expected = Stats.expected() * slowness(S, Now) * OverdueRatio;
   const Duration OverdueAfter = std::max(Expected, Stats.hedgeDelay());
   S.Pending.push_back(PendingAttempt{Now, Now + OverdueAfter});
+  if (isPaused(S.Pause, Now))
+    ++S.Pause.Tries;
 }
 
 /// True if \p New, which arrived later, is served before \p Waiting.
@@ -394,7 +399,7 @@
   Duration Best = absl::InfiniteDuration();
   int InFlight = 0;
   for (const auto &[Id, S] : Servers) {
-    if (!S->AcceptsAttempts || S->Unreachable)
+    if (!S->AcceptsAttempts || S->Unreachable || !permitsAttempt(S->Pause, Now))
       continue;
     InFlight += S->inFlight();
     // Unconfirmed slowness must not cause rejections: a single slow response
@@ -430,10 +435,21 @@
   return RejectedRetries.reserve(Wait, Interval, MaxDelay, Now);
 }
 
-bool BackendPool::hasReachableServer() const {
-  return std::any_of(Servers.begin(), Servers.end(), [](const auto &Item) {
-    return Item.second->AcceptsAttempts && !Item.second->Unreachable;
+bool BackendPool::hasReachableServer(TimePoint Now) const {
+  return std::any_of(Servers.begin(), Servers.end(), [Now](const auto &Item) {
+    const PoolServer &S = *Item.second;
+    return S.AcceptsAttempts && !S.Unreachable && permitsAttempt(S.Pause, Now);
   });
 }
 
+Duration BackendPool::pauseLeft(TimePoint Now) const {
+  if (hasReachableServer(Now))
+    return absl::ZeroDuration();
+  Duration Left = absl::InfiniteDuration();
+  for (const auto &[Id, S] : Servers)
+    if (S->AcceptsAttempts && !S->Unreachable)
+      Left = std::min(Left, S->Pause.EndsAt - Now);
+  return Left == absl::InfiniteDuration() ? absl::ZeroDuration() : Left;
+}
+
 } // namespace quetzallead
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -61,7 +61,7 @@
 /// attempt is used only if no healthy one is available. A server that reports
 /// requests in its own queue gets one attempt at a time from each instance, so
 /// that the other requests wait in this queue, which is ordered by rank and by
-/// QueueOrder. Not thread-safe.
+/// QueueOrder. A server that has asked for a pause gets none. Not thread-safe.
 class BackendPool {
 public:
   BackendPool(std::string Zone, std::uint64_t Seed, PoolPolicy Policy = {});
@@ -89,8 +89,12 @@
   /// applying changes of the server set or of the limits.
   void grantPermits(TimePoint Now);
 
-  /// True if a server accepts new attempts and is not marked unreachable.
-  bool hasReachableServer() const;
+  /// True if a server may get an attempt at \p Now and is not marked
+  /// unreachable.
+  bool hasReachableServer(TimePoint Now) const;
+  /// Time until the first pause ends if all reachable servers are paused, or
+  /// zero.
+  Duration pauseLeft(TimePoint Now) const;
   /// Expected response time of a request that arrives now, including the queue;
   /// infinite if no server is reachable.
   Duration expectedDelay(const RouteStats &Stats, TimePoint Now) const;
@@ -115,7 +119,8 @@
     AttemptPermitRequest Request;
     AttemptPermitCallback Notify;
   };
-  bool eligible(const PoolServer &S, const AttemptPermitRequest &Request) const;
+  static bool eligible(const PoolServer &S, const AttemptPermitRequest &Request,
+                       TimePoint Now);
   /// Known requests in progress or queued at the server, per slot.
   static double loadAhead(const PoolServer &S, TimePoint Now);
   double score(const PoolServer &S, const AttemptPermitRequest &Request,
--- a/src/core/relay/PoolServer.h
+++ b/src/core/relay/PoolServer.h
@@ -2,6 +2,7 @@
 #define QUETZALLEAD_CORE_RELAY_POOLSERVER_H
 
 #include "core/relay/DiscoveredServer.h"
+#include "core/relay/ServerPause.h"
 #include "quetzallead/LoadReport.h"
 #include "quetzallead/Time.h"
 #include <vector>
@@ -43,6 +44,7 @@
   /// Until this time the server is ejected: it gets attempts only as a last
   /// resort.
   TimePoint EjectedUntil = absl::InfinitePast();
+  ServerPause Pause;
   /// Set when no connection can be established; cleared once one is.
   bool Unreachable = false;
   /// Open connections without a request.
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -112,18 +112,21 @@
   // response is delivered late rather than not at all.
   const TimePoint Cutoff = isSurvey() ? Plan.ObjectiveDeadline : Plan.Deadline;
   std::vector<bool> InTime;
+  std::vector<const RelayTarget *> Paused;
   Duration LongestDelay = absl::ZeroDuration();
   const RelayTarget *Slowest = nullptr;
   std::size_t InTimeCount = 0;
   for (const RelayTarget &T : Plan.Targets) {
     // Admission is the home's decision; it knows the load of the servers.
-    const Duration Delay = isForwarded() && T.Pool->hasReachableServer()
+    const Duration Delay = isForwarded() && T.Pool->hasReachableServer(Now)
                                ? absl::ZeroDuration()
                                : T.Pool->expectedDelay(*Plan.Stats, Now);
     InTime.push_back(Delay != absl::InfiniteDuration() &&
                      Now + Delay * ExpectedDelayFraction <= Cutoff);
     if (InTime.back())
       ++InTimeCount;
+    else if (T.Pool->pauseLeft(Now) > absl::ZeroDuration())
+      Paused.push_back(&T);
     else if (Delay != absl::InfiniteDuration() && Delay > LongestDelay) {
       LongestDelay = Delay;
       Slowest = &T;
@@ -137,6 +140,18 @@
              Out);
       return;
     }
+    const std::size_t Lacking = neededParts() - InTimeCount;
+    if (Paused.size() >= Lacking) {
+      // The request can be served once enough of the pauses are over.
+      auto Decisive = Paused.begin() + static_cast<std::ptrdiff_t>(Lacking - 1);
+      std::nth_element(Paused.begin(), Decisive, Paused.end(),
+                       [Now](const RelayTarget *A, const RelayTarget *B) {
+                         return A->Pool->pauseLeft(Now) <
+                                B->Pool->pauseLeft(Now);
+                       });
+      finish(rejection(**Decisive, absl::ZeroDuration(), Now), Out);
+      return;
+    }
     RelayResult V;
     V.Outcome = RelayOutcome::Unservable;
     V.RetryAfter = UnservableRetryAfter;
@@ -317,7 +332,7 @@
                 Out);
   // A request that every home has passed back is rejected at once.
   if (P.State != PartState::Failed || isForwarded() ||
-      !T.Pool->hasReachableServer())
+      !T.Pool->hasReachableServer(Now))
     return;
   // Every server has been tried. Start over after a delay: the first one may
   // have capacity by then.
@@ -461,11 +476,12 @@
 
 RelayResult RelayRequest::rejection(const RelayTarget &Target, Duration Wait,
                                     TimePoint Now) const {
+  const Duration Pause = Target.Pool->pauseLeft(Now);
   RelayResult V;
   V.Outcome = RelayOutcome::Rejected;
   V.RetryAfter = Target.Pool->reserveRetryDelay(
-      *Plan.Stats, std::max(Wait, MinRetryAfter), Plan.Instances,
-      (Plan.CallerDeadline - Now) * MaxRetryAfterFraction, Now);
+      *Plan.Stats, std::max({Wait, MinRetryAfter, Pause}), Plan.Instances,
+      Pause + (Plan.CallerDeadline - Now) * MaxRetryAfterFraction, Now);
   return V;
 }
 
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -151,7 +151,8 @@
   void finish(RelayResult Verdict, RelayActions &Out);
   RelayResult failureResult(TimePoint Now) const;
   /// Returns a rejection with a Retry-After at which \p Target is expected to
-  /// have capacity, at least \p Wait from now.
+  /// have capacity, at least \p Wait from now and not before a pause of all its
+  /// servers ends.
   RelayResult rejection(const RelayTarget &Target, Duration Wait,
                         TimePoint Now) const;
   RelayResult mergedResult() const;
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -194,7 +194,10 @@
         Previous == Pool.servers().end() ? nullptr : Previous->second;
     Pool.upsert(Info, Now);
     const ServerRef &NewServer = Pool.servers().at(Change.Id);
-    if (NewServer != OldServer && NewServer->AcceptsAttempts)
+    if (NewServer == OldServer)
+      continue;
+    restorePause(NewServer);
+    if (NewServer->AcceptsAttempts)
       NewServers.push_back(NewServer);
   }
   updateConnectionShares(Now);
@@ -207,6 +210,43 @@
   return Leaving.add(Server->Info);
 }
 
+static bool isSameIncarnation(const PoolServer &A, const PoolServer &B) {
+  return A.Info.Address == B.Info.Address &&
+         A.Info.StartedAtMillis == B.Info.StartedAtMillis;
+}
+
+void RelayState::restorePause(const ServerRef &Server) {
+  auto Found = PausedServers.find(Server->Info.Id);
+  if (Found == PausedServers.end() ||
+      !isSameIncarnation(*Found->second, *Server))
+    return;
+  Server->Pause = Found->second->Pause;
+  Found->second = Server;
+}
+
+bool RelayState::pauseServer(const ServerRef &Server, Duration Time,
+                             TimePoint Now) {
+  const bool Began = extendPause(Server->Pause, Time, Now);
+  ServerRef Current = Server;
+  // The answer may be to an attempt from before the server was removed and
+  // listed again.
+  auto ItsService = ServiceOf.find(Server->Info.Id);
+  if (ItsService != ServiceOf.end()) {
+    const auto &Listed = service(ItsService->second).Pool->servers();
+    auto Found = Listed.find(Server->Info.Id);
+    if (Found != Listed.end() && Found->second != Server &&
+        isSameIncarnation(*Found->second, *Server)) {
+      Current = Found->second;
+      extendPause(Current->Pause, Time, Now);
+    }
+  }
+  for (auto It = PausedServers.begin(); It != PausedServers.end();)
+    It = isPaused(It->second->Pause, Now) ? std::next(It)
+                                          : PausedServers.erase(It);
+  PausedServers[Server->Info.Id] = Current;
+  return Began;
+}
+
 void RelayState::setInstanceCount(int Count, int NewHomeCount,
                                   bool NewSelfIsHome, TimePoint Now) {
   Instances = std::max(1, Count);
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -54,6 +54,10 @@
   /// attempts, whatever the discovery feed says of this incarnation. Returns
   /// false if that was known. Call grantPermits() afterwards.
   bool markLeaving(const ServerRef &Server);
+  /// Handles the request of \p Server for no requests within \p Time. It holds
+  /// for the incarnation, whatever the discovery feed says of it. Returns true
+  /// if a pause began. Call grantPermits() afterwards.
+  bool pauseServer(const ServerRef &Server, Duration Time, TimePoint Now);
   /// Sets the number of instances that may connect to backend servers and how
   /// many of them are homes, which share what the limits allow; \p SelfIsHome
   /// tells whether this one is. The others get one connection to each server,
@@ -74,7 +78,9 @@
   std::vector<ServerRef> updateHomes(const InstanceDirectory &Directory,
                                      const std::string &Self, TimePoint Now);
   /// Whether a home is known that is not marked unreachable.
-  bool hasReachableHome() const { return Homes.Pool->hasReachableServer(); }
+  bool hasReachableHome(TimePoint Now) const {
+    return Homes.Pool->hasReachableServer(Now);
+  }
   /// Homes in order of preference, those of the own zone first.
   std::vector<ServerRef> homes() const;
   /// Plans to forward a request to a home. \p MatchedRoute is the route that
@@ -96,6 +102,8 @@
   };
 
   Service &service(const std::string &Name);
+  /// Lets a server that was removed and is listed again continue its pause.
+  void restorePause(const ServerRef &Server);
   void updateConnectionShares(TimePoint Now);
   /// Number of instances that share the base of the extra load.
   int budgetSharers() const;
@@ -109,6 +117,8 @@
   /// Service name by server ID.
   std::map<std::string, std::string> ServiceOf;
   LeavingServers Leaving;
+  /// Servers by id whose last pause may not be over.
+  std::map<std::string, ServerRef> PausedServers;
   std::map<std::string, std::shared_ptr<RouteStats>> Stats;
   Service Homes;
   /// Response times of homes, by route name.
--- a/src/core/relay/ServerState.h
+++ b/src/core/relay/ServerState.h
@@ -12,16 +12,18 @@
   Overdue,     ///< An attempt in flight has exceeded its expected time.
   Ejected,     ///< Gets no attempts for a while after failures or rejections.
   Unreachable, ///< No connection can be established, or it is unresponsive.
+  Paused,      ///< Has asked for no requests for a while.
   Leaving,     ///< Accepts no new attempts.
 };
 
-inline constexpr std::size_t ServerStateCount = 5;
+inline constexpr std::size_t ServerStateCount = 6;
 
 inline constexpr NamedValue<ServerState> ServerStateNames[ServerStateCount] = {
     {ServerState::Healthy, "sound"},
     {ServerState::Overdue, "overdue"},
     {ServerState::Ejected, "resting"},
     {ServerState::Unreachable, "unreachable"},
+    {ServerState::Paused, "paused"},
     {ServerState::Leaving, "leaving"},
 };
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -123,6 +123,9 @@
                                const HttpResponseHead &Head) {
     if (saysLeaving(Head, Environment.Headers))
       onServerLeaving(Server);
+    const Duration Pause = requestedPause(Head);
+    if (Pause != absl::ZeroDuration())
+      onPauseRequested(Server, Pause);
   };
   LinkCodec.Acknowledged = true;
   LinkCodec.Encode = [this](const ForwardedRequest &Call,
@@ -413,7 +416,7 @@
 }
 
 bool RelayDaemon::servesItself() const {
-  return !State.hasReachableHome() || LinkSecret.empty() ||
+  return !State.hasReachableHome(LoopTimers::now()) || LinkSecret.empty() ||
          (Home && !Contact.handsOver(LoopTimers::now()));
 }
 
@@ -538,6 +541,24 @@
   });
 }
 
+void RelayDaemon::onPauseRequested(const ServerRef &Server, Duration Time) {
+  if (Time < absl::ZeroDuration()) {
+    logEvent(LogLevel::Warning, "server_pause_unreadable",
+             {{"server", Server->Info.Id}, {"service", Server->Info.Service}});
+    return;
+  }
+  const TimePoint Now = LoopTimers::now();
+  if (!State.pauseServer(Server, Time, Now))
+    return;
+  logEvent(LogLevel::Info, "server_paused",
+           {{"server", Server->Info.Id},
+            {"service", Server->Info.Service},
+            {"pause_ms", absl::ToInt64Milliseconds(Time)}});
+  Metrics.serverPaused();
+  // Must not run while the response is being parsed.
+  asio::post(Loop, [this] { State.grantPermits(LoopTimers::now()); });
+}
+
 void RelayDaemon::scheduleServerExpiry() {
   const TimePoint Due = Feed.nextExpiry();
   ExpiryTimer.reset();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -51,6 +51,9 @@
   void applyServerChanges(const std::vector<FeedChange> &Changes);
   /// Handles the word of a backend server that it is leaving.
   void onServerLeaving(const ServerRef &Server);
+  /// Handles the request of a backend server for no requests within \p Time,
+  /// which is negative if it cannot be read.
+  void onPauseRequested(const ServerRef &Server, Duration Time);
   /// Sets the timer that removes servers whose time to return has passed.
   void scheduleServerExpiry();
   void onRequest(const std::shared_ptr<CallerSession> &Caller,
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -8,6 +8,7 @@
 #include "core/relay/RecordMerge.h"
 #include <algorithm>
 #include <boost/beast/http/status.hpp>
+#include <cmath>
 
 namespace quetzallead {
 
@@ -112,6 +113,23 @@
   });
 }
 
+Duration requestedPause(const HttpResponseHead &Head) {
+  if (Head.result() != http::status::service_unavailable)
+    return absl::ZeroDuration();
+  const auto Range = Head.equal_range(http::field::retry_after);
+  if (Range.first == Range.second)
+    return absl::ZeroDuration();
+  Duration Longest = -absl::InfiniteDuration();
+  for (auto It = Range.first; It != Range.second; ++It) {
+    double Seconds = 0;
+    if (absl::SimpleAtod(absl::StripAsciiWhitespace(view(It->value())),
+                         &Seconds) &&
+        Seconds >= 0 && std::isfinite(Seconds))
+      Longest = std::max(Longest, absl::Seconds(Seconds));
+  }
+  return Longest;
+}
+
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
                                 const HeaderNames &Names) {
   AttemptEnd Out;
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -33,6 +33,11 @@
 /// Whether a backend server says in \p Head that it is leaving.
 bool saysLeaving(const HttpResponseHead &Head, const HeaderNames &Names);
 
+/// How long the sender of \p Head wants no requests: the longest Retry-After of
+/// a 503, in seconds. Zero if there is none, a negative time if none can be
+/// read.
+Duration requestedPause(const HttpResponseHead &Head);
+
 /// Interprets a finished exchange with a backend server. Moves the body out of
 /// the response.
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -95,6 +95,7 @@
   void attemptEnded(const std::string &Service, AttemptCause Cause,
                     AttemptResult Result, Duration Elapsed);
   void serverLeaving() { LeavingCount.Increment(); }
+  void serverPaused() { PauseCount.Increment(); }
   std::string serialize(const RelaySnapshot &Snapshot);
 
 private:
@@ -158,6 +159,10 @@
       counterFamily("quetzallead_servers_leaving_total",
                     "Backend servers whose responses said that they leave.")
           .Add({});
+  Counter &PauseCount =
+      counterFamily("quetzallead_server_pauses_total",
+                    "Pauses that backend servers have asked for.")
+          .Add({});
   Family<Gauge> &Ready = gaugeFamily("quetzallead_ready", "1 while ready.");
   Family<Gauge> &SheetVersion = gaugeFamily("quetzallead_sheet_version",
                                             "Version of the sheet in force.");
@@ -295,6 +300,8 @@
 
 void RelayMetrics::serverLeaving() { Impl->serverLeaving(); }
 
+void RelayMetrics::serverPaused() { Impl->serverPaused(); }
+
 void RelayMetrics::attemptEnded(const std::string &Service, AttemptCause Cause,
                                 AttemptResult Result, Duration Elapsed) {
   Impl->attemptEnded(Service, Cause, Result, Elapsed);
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -30,6 +30,8 @@
                     AttemptResult Result, Duration Elapsed);
   /// A backend server has said for the first time that it is leaving.
   void serverLeaving();
+  /// A backend server has asked for no requests for a while.
+  void serverPaused();
   /// All metrics in the text format of Prometheus. The gauges are set
   /// from \p Snapshot.
   std::string serialize(const RelaySnapshot &Snapshot);
--- a/tests/relay/RelayCoreTest.cpp
+++ b/tests/relay/RelayCoreTest.cpp
@@ -3,6 +3,7 @@
 #include "core/relay/RecordMerge.h"
 #include "core/relay/RouteTable.h"
 #include "core/relay/ServerFeed.h"
+#include "core/relay/ServerPause.h"
 #include "core/relay/SplitPicker.h"
 #include <algorithm>
 #include <deque>
@@ -130,6 +131,48 @@
   EXPECT_FALSE(Leaving.contains(S));
 }
 
+TEST(ServerPauseStateTest, LongPausePermitsTwoAttempts) {
+  ServerPause Pause;
+  EXPECT_TRUE(permitsAttempt(Pause, Start));
+  EXPECT_TRUE(extendPause(Pause, absl::Hours(5), Start));
+  int Sent = 0;
+  for (TimePoint Now = Start; Now < Start + absl::Hours(5);
+       Now += absl::Seconds(1))
+    if (permitsAttempt(Pause, Now)) {
+      ++Pause.Tries;
+      ++Sent;
+      // The server asks again, for less.
+      EXPECT_FALSE(extendPause(Pause, absl::Seconds(2), Now));
+    }
+  EXPECT_EQ(Sent, MaxPauseTries);
+  EXPECT_TRUE(permitsAttempt(Pause, Start + absl::Hours(5)));
+}
+
+RC_GTEST_PROP(ServerPauseStateTest, NoPauseGetsMoreThanTwoAttempts,
+              (const std::vector<std::uint16_t> &Steps)) {
+  struct Span {
+    TimePoint Begin;
+    TimePoint End;
+    int Attempts = 0;
+  };
+  std::vector<Span> Spans;
+  ServerPause Pause;
+  TimePoint Now = Start;
+  for (std::uint16_t Step : Steps) {
+    Now += absl::Milliseconds(Step);
+    if (!permitsAttempt(Pause, Now))
+      continue;
+    if (isPaused(Pause, Now))
+      ++Pause.Tries;
+    for (Span &S : Spans)
+      if (Now >= S.Begin && Now < S.End)
+        RC_ASSERT(++S.Attempts <= MaxPauseTries);
+    const Duration Time = absl::Milliseconds(Step % 7 * Step);
+    extendPause(Pause, Time, Now);
+    Spans.push_back(Span{Now, Now + Time, 0});
+  }
+}
+
 TEST(ServerFeedTest, NewerRevisionsWin) {
   ServerFeed Feed(absl::Seconds(2), absl::ZeroDuration());
   Feed.apply({entryOf("a", 5)}, Start);
--- a/tests/relay/RelayMessagesTest.cpp
+++ b/tests/relay/RelayMessagesTest.cpp
@@ -122,6 +122,29 @@
   }
 }
 
+TEST(RelayMessagesTest, LongestRetryAfterOfARejectionIsThePause) {
+  const Duration None = absl::ZeroDuration();
+  const std::pair<const char *, Duration> Cases[] = {
+      {"503 Busy\r\nRetry-After: 2\r\n", absl::Seconds(2)},
+      {"503 Busy\r\nRetry-After: 0.25\r\nretry-after: 1\r\n", absl::Seconds(1)},
+      {"503 Busy\r\nRetry-After: 3\r\nRetry-After: soon\r\n", absl::Seconds(3)},
+      {"503 Busy\r\nRetry-After: 0\r\n", None},
+      {"503 Busy\r\n", None},
+      {"429 Busy\r\nRetry-After: 2\r\n", None},
+      {"200 OK\r\nRetry-After: 2\r\n", None}};
+  for (const auto &[Head, Pause] : Cases) {
+    const HttpExchangeResult End = parseResponse(
+        std::string("HTTP/1.1 ") + Head + "Content-Length: 0\r\n\r\n");
+    EXPECT_EQ(requestedPause(*End.Response), Pause) << Head;
+  }
+  for (const char *Value : {"-1", "", "soon", "nan", "inf", "1e999"}) {
+    const HttpExchangeResult End =
+        parseResponse(std::string("HTTP/1.1 503 Busy\r\nRetry-After: ") +
+                      Value + "\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_LT(requestedPause(*End.Response), None) << Value;
+  }
+}
+
 TEST(RelayMessagesTest, SurveyResponseListsItsParts) {
   const HeaderNames Names = platformHeaderNames();
   RelayResult Verdict;
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -268,3 +268,47 @@
   W.advance(absl::Milliseconds(20));
   EXPECT_EQ(W.SentServers.size(), 24u);
 }
+
+TEST(RelayRequestTest, PausedServersAreRejectedAtOnceUntilTheFirstPauseEnds) {
+  RelayRequestHarness W(1, 2);
+  W.startRequest();
+  for (std::size_t Attempt = 0; Attempt < 2; ++Attempt) {
+    W.State->pauseServer(W.serverOf(Attempt), absl::Seconds(5 - Attempt),
+                         W.Now);
+    W.endAttempt(Attempt, AttemptResult::Shed);
+    W.advance(absl::Milliseconds(1));
+  }
+  ASSERT_TRUE(W.answered());
+  EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Rejected);
+  EXPECT_GE(W.Verdict->RetryAfter, absl::Milliseconds(3990));
+  const std::size_t Sent = W.SentServers.size();
+  Duration Last = W.Verdict->RetryAfter;
+  for (int I = 0; I < 5; ++I) {
+    W.Verdict.reset();
+    W.startRequest();
+    ASSERT_TRUE(W.answered());
+    EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Rejected);
+    // Callers that are rejected together do not return together.
+    EXPECT_GT(W.Verdict->RetryAfter, Last);
+    Last = W.Verdict->RetryAfter;
+  }
+  EXPECT_EQ(W.SentServers.size(), Sent);
+}
+
+TEST(RelayRequestTest, SurveyLeavesAPausedShardOutIfCoverageAllows) {
+  RelayRequestHarness W(4, 1);
+  W.startRequest();
+  const ServerRef Paused = W.serverOf(0);
+  for (std::size_t Attempt = 0; Attempt < 4; ++Attempt)
+    W.endAttempt(Attempt, AttemptResult::Answered);
+  W.State->pauseServer(Paused, absl::Seconds(5), W.Now);
+  W.Verdict.reset();
+  W.SentServers.clear();
+  W.startRequest();
+  ASSERT_EQ(W.SentServers.size(), 3u);
+  for (std::size_t Attempt = 0; Attempt < 3; ++Attempt)
+    W.endAttempt(Attempt, AttemptResult::Answered);
+  ASSERT_TRUE(W.answered());
+  EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Merged);
+  EXPECT_EQ(W.Verdict->MissingParts, 1u);
+}
--- a/tests/relay/RelayWithStore.h
+++ b/tests/relay/RelayWithStore.h
@@ -65,8 +65,8 @@
                            R"(", "address": ")", Server.address(), "\"}"));
   }
 
-  /// Sends a request on a new connection and returns the status.
-  unsigned ask() {
+  /// Sends a request on a new connection and returns the head of the response.
+  std::string askForHead() {
     boost::asio::ip::tcp::socket Caller(Loop);
     Caller.connect(boost::asio::ip::tcp::endpoint(
         boost::asio::ip::make_address("127.0.0.1"),
@@ -78,6 +78,11 @@
     boost::system::error_code Fault;
     boost::asio::read_until(Caller, boost::asio::dynamic_buffer(Text),
                             "\r\n\r\n", Fault);
+    return Text;
+  }
+  /// Sends a request and returns the status.
+  unsigned ask() {
+    const std::string Text = askForHead();
     return Text.size() < 12
                ? 0
                : static_cast<unsigned>(std::stoul(Text.substr(9, 3)));
