relay: late responses apply to the server's new entry; wording

A server that the feed removes and lists again within one incarnation gets a new entry. Tests and comments use 'announcement' and 'response'.

--- a/src/core/relay/LeavingServers.h
+++ b/src/core/relay/LeavingServers.h
@@ -10,11 +10,11 @@
 
 namespace quetzallead {
 
-/// Incarnations of backend servers that have said that they are leaving.
+/// Incarnations of backend servers whose responses announced that they leave.
 ///
 /// Handles discovery sources that are late, or that come back from an older
-/// copy, and still list such a server as ready. An incarnation never takes its
-/// word back; a server that starts again does so with another start time or
+/// copy, and still list such a server as ready. An incarnation that leaves does
+/// not become ready again; a server that starts again has another start time or
 /// address.
 class LeavingServers {
 public:
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -205,16 +205,29 @@
   return NewServers;
 }
 
-bool RelayState::markLeaving(const ServerRef &Server) {
-  Server->AcceptsAttempts = false;
-  return Leaving.add(Server->Info);
-}
-
 static bool isSameIncarnation(const PoolServer &A, const PoolServer &B) {
   return A.Info.Address == B.Info.Address &&
          A.Info.StartedAtMillis == B.Info.StartedAtMillis;
 }
 
+ServerRef RelayState::listedServer(const PoolServer &Server) {
+  auto ItsService = ServiceOf.find(Server.Info.Id);
+  if (ItsService == ServiceOf.end())
+    return nullptr;
+  const auto &Listed = service(ItsService->second).Pool->servers();
+  auto Found = Listed.find(Server.Info.Id);
+  return Found != Listed.end() && isSameIncarnation(*Found->second, Server)
+             ? Found->second
+             : nullptr;
+}
+
+bool RelayState::markLeaving(const ServerRef &Server) {
+  Server->AcceptsAttempts = false;
+  if (const ServerRef Listed = listedServer(*Server))
+    Listed->AcceptsAttempts = false;
+  return Leaving.add(Server->Info);
+}
+
 void RelayState::restorePause(const ServerRef &Server) {
   auto Found = PausedServers.find(Server->Info.Id);
   if (Found == PausedServers.end() ||
@@ -226,24 +239,14 @@
 
 bool RelayState::pauseServer(const ServerRef &Server, Duration Time,
                              TimePoint Now) {
-  const bool Began = extendPause(Server->Pause, Time, Now);
-  ServerRef Current = Server;
-  // The answer may be to an attempt from before the server was removed and
-  // listed again.
-  auto ItsService = ServiceOf.find(Server->Info.Id);
-  if (ItsService != ServiceOf.end()) {
-    const auto &Listed = service(ItsService->second).Pool->servers();
-    auto Found = Listed.find(Server->Info.Id);
-    if (Found != Listed.end() && Found->second != Server &&
-        isSameIncarnation(*Found->second, *Server)) {
-      Current = Found->second;
-      extendPause(Current->Pause, Time, Now);
-    }
-  }
+  ServerRef Listed = listedServer(*Server);
+  if (Listed == nullptr)
+    Listed = Server;
+  const bool Began = extendPause(Listed->Pause, Time, Now);
   for (auto It = PausedServers.begin(); It != PausedServers.end();)
     It = isPaused(It->second->Pause, Now) ? std::next(It)
                                           : PausedServers.erase(It);
-  PausedServers[Server->Info.Id] = Current;
+  PausedServers[Server->Info.Id] = std::move(Listed);
   return Began;
 }
 
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -50,13 +50,13 @@
   /// or in a new incarnation and may receive requests.
   std::vector<ServerRef>
   applyFeedChanges(const std::vector<FeedChange> &Changes, TimePoint Now);
-  /// Handles the word of \p Server itself that it is leaving: it gets no new
-  /// attempts, whatever the discovery feed says of this incarnation. Returns
-  /// false if that was known. Call grantPermits() afterwards.
+  /// Records that a response of \p Server announced that it is leaving: its
+  /// incarnation gets no new attempts, even if the discovery feed lists it as
+  /// ready. Returns false if that was known. Call grantPermits() afterwards.
   bool markLeaving(const ServerRef &Server);
-  /// Handles the request of \p Server for no requests within \p Time. It holds
-  /// for the incarnation, whatever the discovery feed says of it. Returns true
-  /// if a pause began. Call grantPermits() afterwards.
+  /// Records that \p Server wants no requests for \p Time. Applies to its
+  /// incarnation, also if the discovery feed removes it and lists it again.
+  /// Returns true if a pause began. Call grantPermits() afterwards.
   bool pauseServer(const ServerRef &Server, Duration Time, TimePoint Now);
   /// Sets the number of instances that may connect to backend servers and how
   /// many of them are homes, which share what the limits allow; \p SelfIsHome
@@ -102,6 +102,10 @@
   };
 
   Service &service(const std::string &Name);
+  /// The listed server of the same incarnation as \p Server, which may have
+  /// been removed and listed again since it got an attempt; null if there is
+  /// none.
+  ServerRef listedServer(const PoolServer &Server);
   /// Lets a server that was removed and is listed again continue its pause.
   void restorePause(const ServerRef &Server);
   void updateConnectionShares(TimePoint Now);
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -49,10 +49,10 @@
   void updateSheet(const std::vector<StoreItem> &Items);
   /// Applies changes of the discovery feed to the pools and connections.
   void applyServerChanges(const std::vector<FeedChange> &Changes);
-  /// Handles the word of a backend server that it is leaving.
+  /// Handles a response that announces that \p Server is leaving.
   void onServerLeaving(const ServerRef &Server);
-  /// Handles the request of a backend server for no requests within \p Time,
-  /// which is negative if it cannot be read.
+  /// Handles a response by which \p Server wants no requests for \p Time, which
+  /// is negative if it cannot be read.
   void onPauseRequested(const ServerRef &Server, Duration Time);
   /// Sets the timer that removes servers whose time to return has passed.
   void scheduleServerExpiry();
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -155,8 +155,8 @@
   auto Answer = std::make_shared<BackendResponse>();
   Answer->Status = Response.result_int();
   Answer->Reason = std::string(view(Response.reason()));
-  // That the server leaves concerns this instance. Passed on, it would look to
-  // another instance like the word of the home that it asked.
+  // An instance that forwards to this one would take the announcement for one
+  // of this instance.
   Answer->Headers =
       endToEndHeaders(Response, {"content-length", LinkHeader, Names.Leaving});
   std::uint64_t Length = 0;
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -30,7 +30,7 @@
                           const HeaderNames &Names, const std::string &ServerId,
                           Duration TimeLeft);
 
-/// Whether a backend server says in \p Head that it is leaving.
+/// Whether \p Head announces that the backend server is leaving.
 bool saysLeaving(const HttpResponseHead &Head, const HeaderNames &Names);
 
 /// How long the sender of \p Head wants no requests: the longest Retry-After of
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -28,7 +28,7 @@
   void requestRejected(RejectReason Reason);
   void attemptEnded(const std::string &Service, AttemptCause Cause,
                     AttemptResult Result, Duration Elapsed);
-  /// A backend server has said for the first time that it is leaving.
+  /// A backend server has announced for the first time that it is leaving.
   void serverLeaving();
   /// A backend server has asked for no requests for a while.
   void serverPaused();
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -312,3 +312,27 @@
   EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Merged);
   EXPECT_EQ(W.Verdict->MissingParts, 1u);
 }
+
+// The response to an attempt from before the server was removed and listed
+// again.
+TEST(RelayRequestTest, LateResponseOfARemovedServerAppliesToItsNewEntry) {
+  for (const bool Leaves : {true, false}) {
+    RelayRequestHarness W(1, 1);
+    W.startRequest();
+    const ServerRef Old = W.serverOf(0);
+    const DiscoveredServer Info = Old->Info;
+    W.endAttempt(0, AttemptResult::Answered);
+    W.State->applyFeedChanges({FeedChange{Info.Id, std::nullopt}}, W.Now);
+    W.State->applyFeedChanges({FeedChange{Info.Id, Info}}, W.Now);
+    if (Leaves)
+      EXPECT_TRUE(W.State->markLeaving(Old));
+    else
+      EXPECT_TRUE(W.State->pauseServer(Old, absl::Seconds(5), W.Now));
+    W.Verdict.reset();
+    W.startRequest();
+    ASSERT_TRUE(W.answered());
+    EXPECT_EQ(W.Verdict->Outcome,
+              Leaves ? RelayOutcome::Unservable : RelayOutcome::Rejected);
+    EXPECT_EQ(W.SentServers.size(), 1u);
+  }
+}
--- a/tests/relay/ServerLeavingTest.cpp
+++ b/tests/relay/ServerLeavingTest.cpp
@@ -37,9 +37,8 @@
 
 } // namespace
 
-// A store that is late or comes back older lists a server as ready that has
-// said in an answer that it leaves.
-TEST_F(ServerLeavingTest, ReadyEntryDoesNotLiftTheWordOfTheServer) {
+// A store that is late or comes back older lists a leaving server as ready.
+TEST_F(ServerLeavingTest, ReadyEntryDoesNotOverrideTheAnnouncement) {
   askUntilServed();
   Backend.setResponse("200 OK", LeavingHeader);
   askUntilServed();
@@ -58,7 +57,7 @@
   askUntilServed();
 }
 
-TEST_F(ServerLeavingTest, WordInABrokenAnswerCounts) {
+TEST_F(ServerLeavingTest, AnnouncementInABrokenResponseCounts) {
   askUntilServed();
   addSecond();
   Backend.setResponse("200 OK", LeavingHeader);
@@ -69,7 +68,7 @@
   expectNotAsked();
 }
 
-TEST_F(ServerLeavingTest, WordInAFailureCounts) {
+TEST_F(ServerLeavingTest, AnnouncementInAnErrorResponseCounts) {
   askUntilServed();
   addSecond();
   Backend.setResponse("500 Failed", LeavingHeader);
