tests: the second watch's wait is checked exactly again

FirstWatchAfterSnapshotIsShort compared that wait with an option that is gone; its replacement only asked for more than 1 s and for the timeout, which was weaker. It now asks for 1.8 s, which is MaxSilence less the time for the response. One comment reworded.

--- a/tests/relay/PrefixWatcherTest.cpp
+++ b/tests/relay/PrefixWatcherTest.cpp
@@ -102,7 +102,7 @@
   Store.respondPage(StoreOutcome::Done, {}, 7);
   EXPECT_LE(Store.Calls.back().Wait, absl::Seconds(1));
   Store.respondPage(StoreOutcome::Done, {}, 7);
-  EXPECT_GT(Store.Calls.back().Wait, absl::Seconds(1));
+  EXPECT_EQ(Store.Calls.back().Wait, absl::Milliseconds(1800));
   EXPECT_EQ(Store.Calls.back().Timeout, PrefixWatchOptions().MaxSilence);
   Store.respondPage(StoreOutcome::HistoryCompacted);
   Store.respondPage(StoreOutcome::Done, {}, 9);
--- a/tests/relay/RelayCoreTest.cpp
+++ b/tests/relay/RelayCoreTest.cpp
@@ -141,7 +141,7 @@
     if (permitsAttempt(Pause, Now)) {
       ++Pause.Tries;
       ++Sent;
-      // The server asks again, for less.
+      // A shorter pause does not end the longer one.
       EXPECT_FALSE(extendPause(Pause, absl::Seconds(2), Now));
     }
   EXPECT_EQ(Sent, MaxPauseTries);
