relay: the instances together keep to the limit that a server names

Cause: a new contract; its class is a limit on all instances that each instance meets alone.

Change: the limit is taken from the head of each response. The homes divide it equally, a token bucket each; an instance that is missing from the directory counts for 30 s more, and homes tell each other how many they count, so that lost registrations and restarts do not raise the sum. First attempts, hedges and retries draw on the share; requests wait for it in the queue or are rejected at once if that takes too long.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -47,12 +47,17 @@
 /// Ejection time after a server rejects an attempt or lets it expire, in
 /// multiples of the expected response time.
 static constexpr double ShedEjectionRatio = 1.0;
+/// Requests that a server's limit must still allow for a hedge: one is left for
+/// a first attempt.
+static constexpr double MinTokensToHedge = 2;
 /// Maximum number of queued requests per service.
 static constexpr std::size_t QueueLimit = 64;
 
 BackendPool::BackendPool(std::string GivenZone, std::uint64_t Seed,
-                         PoolPolicy GivenPolicy)
-    : Zone(std::move(GivenZone)), Policy(GivenPolicy), Engine(Seed) {}
+                         PoolPolicy GivenPolicy,
+                         std::shared_ptr<const SharingInstances> GivenSharing)
+    : Zone(std::move(GivenZone)), Policy(GivenPolicy),
+      Sharing(std::move(GivenSharing)), Engine(Seed) {}
 
 void BackendPool::upsert(const DiscoveredServer &Info, TimePoint Now) {
   ServerRef &S = Servers[Info.Id];
@@ -90,6 +95,12 @@
                       [&](const ServerRef &E) { return E.get() == &S; });
 }
 
+LimitShare BackendPool::limitShare(const PoolServer &S, TimePoint Now) const {
+  return Sharing == nullptr || !isLimited(S.Limit)
+             ? LimitShare()
+             : Sharing->shareOf(S.Info.Id, S.Limit.PerSecond, Now);
+}
+
 ServerState BackendPool::state(const PoolServer &S, TimePoint Now) {
   if (!S.AcceptsAttempts)
     return ServerState::Leaving;
@@ -106,6 +117,7 @@
   ServiceSnapshot Out;
   for (const auto &[Id, S] : Servers) {
     ++Out.Servers[static_cast<std::size_t>(state(*S, Now))];
+    Out.Limited += isLimited(S->Limit) ? 1 : 0;
     Out.InFlight += S->Pending.size();
     Out.IdleConnections += static_cast<std::size_t>(S->IdleConnections);
   }
@@ -210,6 +222,19 @@
     if (!Request.AllowUnhealthy &&
         (T != Tier::Healthy || loadAhead(*S, Now) >= Policy.MaxHedgeTargetLoad))
       continue;
+    if (isLimited(S->Limit)) {
+      const LimitShare Share = limitShare(*S, Now);
+      if (!Request.AllowUnhealthy &&
+          limitTokens(S->Limit, Share, Now) < MinTokensToHedge)
+        continue;
+      const Duration Wait = limitWait(S->Limit, Share, Now);
+      if (Now + Wait > Request.LatestStart)
+        continue;
+      if (Wait > absl::ZeroDuration()) {
+        AnyEligible = true;
+        continue;
+      }
+    }
     AnyEligible = true;
     if (S->inFlight() >= inFlightLimit(*S, Now))
       continue;
@@ -233,6 +258,7 @@
   S.Pending.push_back(PendingAttempt{Now, Now + OverdueAfter});
   if (isPaused(S.Pause, Now))
     ++S.Pause.Tries;
+  spendLimit(S.Limit, limitShare(S, Now), Now);
 }
 
 /// True if \p New, which arrived later, is served before \p Waiting.
@@ -271,6 +297,7 @@
         return goesBefore(Request, Q.Request, Policy.Order);
       });
   Queue.insert(Position, QueuedRequest{P.WaitId, Request, std::move(Notify)});
+  announceNextPermit(Now);
   return P;
 }
 
@@ -392,15 +419,59 @@
   // The callback may change the queue, so each step starts from the front.
   while (serveOne(false, Now) || serveOne(true, Now))
     ;
+  announceNextPermit(Now);
+}
+
+void BackendPool::announceNextPermit(TimePoint Now) const {
+  if (Queue.empty() || !OnPermitDue)
+    return;
+  Duration Shortest = absl::InfiniteDuration();
+  for (const auto &[Id, S] : Servers) {
+    if (!S->AcceptsAttempts || !isLimited(S->Limit))
+      continue;
+    const Duration Wait = limitWait(S->Limit, limitShare(*S, Now), Now);
+    if (Wait > absl::ZeroDuration())
+      Shortest = std::min(Shortest, Wait);
+  }
+  if (Shortest != absl::InfiniteDuration())
+    OnPermitDue(Now + Shortest);
+}
+
+Duration BackendPool::limitDelay(TimePoint Now) const {
+  double Rate = 0;
+  double Tokens = 0;
+  bool AnyLimited = false;
+  for (const auto &[Id, S] : Servers) {
+    if (!S->AcceptsAttempts || S->Unreachable || !permitsAttempt(S->Pause, Now))
+      continue;
+    if (!isLimited(S->Limit))
+      return absl::ZeroDuration();
+    AnyLimited = true;
+    const LimitShare Share = limitShare(*S, Now);
+    Rate += limitRate(S->Limit, Share);
+    if (Share.Fraction > 0)
+      Tokens += limitTokens(S->Limit, Share, Now);
+  }
+  if (!AnyLimited)
+    return absl::ZeroDuration();
+  // The requests in the queue are served first.
+  const double Lacking = static_cast<double>(Queue.size()) + 1 - Tokens;
+  if (Lacking <= 0)
+    return absl::ZeroDuration();
+  return Rate > 0 ? absl::Seconds(Lacking / Rate) : absl::InfiniteDuration();
 }
 
 Duration BackendPool::expectedDelay(const RouteStats &Stats,
                                     TimePoint Now) const {
   Duration Best = absl::InfiniteDuration();
   int InFlight = 0;
+  const bool AllLimited = limitDelay(Now) > absl::ZeroDuration();
   for (const auto &[Id, S] : Servers) {
     if (!S->AcceptsAttempts || S->Unreachable || !permitsAttempt(S->Pause, Now))
       continue;
+    if (!AllLimited &&
+        limitWait(S->Limit, limitShare(*S, Now), Now) > absl::ZeroDuration())
+      continue;
     InFlight += S->inFlight();
     // Unconfirmed slowness must not cause rejections: a single slow response
     // does not predict the next one.
@@ -426,9 +497,10 @@
   double SlotsPerSecond = 0;
   for (const auto &[Id, S] : Servers)
     if (S->AcceptsAttempts && !S->Unreachable)
-      SlotsPerSecond +=
+      SlotsPerSecond += std::min(
+          S->Limit.PerSecond,
           std::max(1, S->Info.Slots) /
-          absl::ToDoubleSeconds(Stats.expected() * slowness(*S, Now));
+              absl::ToDoubleSeconds(Stats.expected() * slowness(*S, Now)));
   SlotsPerSecond /= std::max(1, Instances);
   const Duration Interval =
       SlotsPerSecond > 0 ? absl::Seconds(1 / SlotsPerSecond) : Stats.expected();
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -7,6 +7,7 @@
 #include "core/relay/RetrySchedule.h"
 #include "core/relay/RouteStats.h"
 #include "core/relay/ServiceSnapshot.h"
+#include "core/relay/SharingInstances.h"
 #include "quetzallead/AttemptResult.h"
 #include <cstdint>
 #include <deque>
@@ -32,6 +33,8 @@
   /// A response after this time has little value; requests that can still be
   /// in time are served first.
   TimePoint ObjectiveDeadline = absl::InfiniteFuture();
+  /// A permit granted after this time is of no use.
+  TimePoint LatestStart = absl::InfiniteFuture();
   /// Servers that must not be chosen.
   std::vector<ServerRef> Excluded;
   /// If false, only a healthy server with low load is chosen; used for hedges.
@@ -61,10 +64,18 @@
 /// attempt is used only if no healthy one is available. A server that reports
 /// requests in its own queue gets one attempt at a time from each instance, so
 /// that the other requests wait in this queue, which is ordered by rank and by
-/// QueueOrder. A server that has asked for a pause gets none. Not thread-safe.
+/// QueueOrder. A server that has asked for a pause gets none, and one that
+/// names a limit this instance's share of it. Not thread-safe.
 class BackendPool {
 public:
-  BackendPool(std::string Zone, std::uint64_t Seed, PoolPolicy Policy = {});
+  /// \p Sharing divides the limits of the servers; null if this instance is
+  /// alone.
+  BackendPool(std::string Zone, std::uint64_t Seed, PoolPolicy Policy = {},
+              std::shared_ptr<const SharingInstances> Sharing = nullptr);
+
+  /// Called with the time at which queued requests may get a permit although no
+  /// attempt ends: grantPermits() is due then. May be empty.
+  std::function<void(TimePoint)> OnPermitDue;
 
   /// Adds or updates a server from the discovery feed. A new incarnation under
   /// a known id starts without the statistics of the previous one.
@@ -95,8 +106,14 @@
   /// Time until the first pause ends if all reachable servers are paused, or
   /// zero.
   Duration pauseLeft(TimePoint Now) const;
-  /// Expected response time of a request that arrives now, including the queue;
-  /// infinite if no server is reachable.
+  /// Time for which the limits of the servers delay a request that arrives now:
+  /// zero if a reachable server names none, infinite if this instance has no
+  /// share of any.
+  Duration limitDelay(TimePoint Now) const;
+  /// This instance's share of the limit of \p S.
+  LimitShare limitShare(const PoolServer &S, TimePoint Now) const;
+  /// Expected response time of a request that arrives now, including the queue
+  /// but not limitDelay(); infinite if no server is reachable.
   Duration expectedDelay(const RouteStats &Stats, TimePoint Now) const;
   /// Delay after which the caller should retry a request that is rejected now:
   /// at least \p Wait, with retries spaced by the service rate that this
@@ -133,12 +150,15 @@
   Duration expectedCompletion(const PoolServer &S, const RouteStats &Stats,
                               TimePoint Now) const;
   bool serveOne(bool Late, TimePoint Now);
+  /// Calls OnPermitDue if a queued request waits for a limit.
+  void announceNextPermit(TimePoint Now) const;
   void addPending(PoolServer &S, const RouteStats &Stats, TimePoint Now) const;
   void recordOutcome(PoolServer &S, const AttemptReport &Report,
                      RouteStats &Stats, TimePoint Now);
 
   const std::string Zone;
   const PoolPolicy Policy;
+  const std::shared_ptr<const SharingInstances> Sharing;
   int ConnectionShare = 1;
   std::map<std::string, ServerRef> Servers;
   /// Ordered by rank, then by Policy.Order.
--- a/src/core/relay/HomeSelection.cpp
+++ b/src/core/relay/HomeSelection.cpp
@@ -58,14 +58,16 @@
   return Out;
 }
 
-int countHomes(const InstanceDirectory &Directory, const HomePolicy &Policy) {
+std::vector<std::string> homeNames(const InstanceDirectory &Directory,
+                                   const HomePolicy &Policy) {
   std::set<std::string> Zones;
   for (const InstanceRecord &Instance : Directory.Instances)
     Zones.insert(Instance.Zone);
-  std::size_t Count = 0;
+  std::vector<std::string> Names;
   for (const std::string &Zone : Zones)
-    Count += selectHomes(Directory, Zone, Policy).size();
-  return static_cast<int>(Count);
+    for (const InstanceRecord &Home : selectHomes(Directory, Zone, Policy))
+      Names.push_back(Home.Name);
+  return Names;
 }
 
 bool isHome(const InstanceDirectory &Directory, const std::string &Name,
--- a/src/core/relay/HomeSelection.h
+++ b/src/core/relay/HomeSelection.h
@@ -41,8 +41,9 @@
                                         const std::string &Zone,
                                         const HomePolicy &Policy);
 
-/// Number of homes of all zones.
-int countHomes(const InstanceDirectory &Directory, const HomePolicy &Policy);
+/// Names of the homes of all zones.
+std::vector<std::string> homeNames(const InstanceDirectory &Directory,
+                                   const HomePolicy &Policy);
 
 /// Whether \p Name is among the homes of its zone.
 bool isHome(const InstanceDirectory &Directory, const std::string &Name,
--- a/src/core/relay/PoolServer.h
+++ b/src/core/relay/PoolServer.h
@@ -2,6 +2,7 @@
 #define QUETZALLEAD_CORE_RELAY_POOLSERVER_H
 
 #include "core/relay/DiscoveredServer.h"
+#include "core/relay/ServerLimit.h"
 #include "core/relay/ServerPause.h"
 #include "quetzallead/LoadReport.h"
 #include "quetzallead/Time.h"
@@ -45,6 +46,7 @@
   /// resort.
   TimePoint EjectedUntil = absl::InfinitePast();
   ServerPause Pause;
+  ServerLimit Limit;
   /// Set when no connection can be established; cleared once one is.
   bool Unreachable = false;
   /// Open connections without a request.
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -108,12 +108,10 @@
   for (RelayTarget &T : Plan.Targets)
     if (!Plan.Repeated)
       T.Budget->earn(Now);
-  // The parts of a survey have little value after the objective; a single
-  // response is delivered late rather than not at all.
-  const TimePoint Cutoff = isSurvey() ? Plan.ObjectiveDeadline : Plan.Deadline;
+  const TimePoint Cutoff = latestStart();
   std::vector<bool> InTime;
   std::vector<const RelayTarget *> Paused;
-  Duration LongestDelay = absl::ZeroDuration();
+  Duration LongestWait = absl::ZeroDuration();
   const RelayTarget *Slowest = nullptr;
   std::size_t InTimeCount = 0;
   for (const RelayTarget &T : Plan.Targets) {
@@ -121,23 +119,22 @@
     const Duration Delay = isForwarded() && T.Pool->hasReachableServer(Now)
                                ? absl::ZeroDuration()
                                : T.Pool->expectedDelay(*Plan.Stats, Now);
-    InTime.push_back(Delay != absl::InfiniteDuration() &&
-                     Now + Delay * ExpectedDelayFraction <= Cutoff);
+    // What the limits of servers delay is known, not estimated.
+    const Duration Wait =
+        T.Pool->limitDelay(Now) + Delay * ExpectedDelayFraction;
+    InTime.push_back(Now + Wait <= Cutoff);
     if (InTime.back())
       ++InTimeCount;
     else if (T.Pool->pauseLeft(Now) > absl::ZeroDuration())
       Paused.push_back(&T);
-    else if (Delay != absl::InfiniteDuration() && Delay > LongestDelay) {
-      LongestDelay = Delay;
+    else if (Wait != absl::InfiniteDuration() && Wait > LongestWait) {
+      LongestWait = Wait;
       Slowest = &T;
     }
   }
   if (InTimeCount < neededParts()) {
     if (Slowest != nullptr) {
-      finish(rejection(*Slowest,
-                       LongestDelay * ExpectedDelayFraction - (Cutoff - Now),
-                       Now),
-             Out);
+      finish(rejection(*Slowest, LongestWait - (Cutoff - Now), Now), Out);
       return;
     }
     const std::size_t Lacking = neededParts() - InTimeCount;
@@ -177,6 +174,7 @@
   Request.Objective = Plan.MatchedRoute->Objective;
   Request.Priority = Plan.MatchedRoute->Priority;
   Request.ObjectiveDeadline = Plan.ObjectiveDeadline;
+  Request.LatestStart = latestStart();
   Request.Excluded = P.TriedServers;
   return Request;
 }
@@ -332,7 +330,8 @@
                 Out);
   // A request that every home has passed back is rejected at once.
   if (P.State != PartState::Failed || isForwarded() ||
-      !T.Pool->hasReachableServer(Now))
+      !T.Pool->hasReachableServer(Now) ||
+      Now + T.Pool->limitDelay(Now) > latestStart())
     return;
   // Every server has been tried. Start over after a delay: the first one may
   // have capacity by then.
@@ -471,7 +470,13 @@
   while (FirstFailed + 1 < Parts.size() &&
          Parts[FirstFailed].State != PartState::Failed)
     ++FirstFailed;
-  return rejection(Plan.Targets[FirstFailed], Plan.Stats->expected() * 2, Now);
+  const RelayTarget &Target = Plan.Targets[FirstFailed];
+  const Duration LimitDelay = Target.Pool->limitDelay(Now);
+  return rejection(Target,
+                   LimitDelay == absl::InfiniteDuration()
+                       ? UnservableRetryAfter
+                       : std::max(Plan.Stats->expected() * 2, LimitDelay),
+                   Now);
 }
 
 RelayResult RelayRequest::rejection(const RelayTarget &Target, Duration Wait,
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -167,6 +167,12 @@
   int maxAttempts() const {
     return Plan.Repeated ? 1 : Plan.MatchedRoute->MaxAttempts;
   }
+  /// Time after which an attempt is of no use. The parts of a survey have
+  /// little value after the objective; a single response is delivered late
+  /// rather than not at all.
+  TimePoint latestStart() const {
+    return isSurvey() ? Plan.ObjectiveDeadline : Plan.Deadline;
+  }
   /// Delay after an attempt at which a hedge is due.
   Duration hedgeDelay() const;
   /// Cancels the attempts at homes that have not acknowledged them, and ejects
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -25,6 +25,8 @@
 /// from its own budget.
 static constexpr double ForwardExtraShare = 0.1;
 static constexpr double ForwardExtraBase = 4;
+/// How long the limit of a server that is not listed is remembered.
+static constexpr Duration LimitMemoryTime = absl::Minutes(1);
 
 static ExtraLoadLimits forwardLimits() {
   ExtraLoadLimits Limits;
@@ -35,7 +37,9 @@
 
 RelayState::RelayState(RelayStateOptions InitialOptions)
     : Options(std::move(InitialOptions)), Instances(Options.AssumedInstances),
-      HomeCount(Options.AssumedInstances) {
+      HomeCount(Options.AssumedInstances),
+      Sharing(std::make_shared<SharingInstances>(Options.Instance,
+                                                 Options.AssumedInstances)) {
   Homes.Pool =
       std::make_shared<BackendPool>(Options.Zone, Options.Seed, Options.Pool);
   Homes.Pool->setConnectionShare(HomeConnections, absl::InfinitePast());
@@ -126,7 +130,11 @@
   Service &S = Services[Name];
   if (S.Pool == nullptr) {
     S.Pool = std::make_shared<BackendPool>(
-        Options.Zone, Options.Seed + Services.size(), Options.Pool);
+        Options.Zone, Options.Seed + Services.size(), Options.Pool, Sharing);
+    S.Pool->OnPermitDue = [this](TimePoint Due) {
+      if (OnPermitDue)
+        OnPermitDue(Due);
+    };
     S.Budget = std::make_shared<ExtraLoadBudget>(Options.ExtraLoad);
   }
   return S;
@@ -196,7 +204,7 @@
     const ServerRef &NewServer = Pool.servers().at(Change.Id);
     if (NewServer == OldServer)
       continue;
-    restorePause(NewServer);
+    restoreRestrictions(NewServer);
     if (NewServer->AcceptsAttempts)
       NewServers.push_back(NewServer);
   }
@@ -228,25 +236,50 @@
   return Leaving.add(Server->Info);
 }
 
-void RelayState::restorePause(const ServerRef &Server) {
-  auto Found = PausedServers.find(Server->Info.Id);
-  if (Found == PausedServers.end() ||
+void RelayState::restoreRestrictions(const ServerRef &Server) {
+  auto Found = RestrictedServers.find(Server->Info.Id);
+  if (Found == RestrictedServers.end() ||
       !isSameIncarnation(*Found->second, *Server))
     return;
   Server->Pause = Found->second->Pause;
+  Server->Limit = Found->second->Limit;
   Found->second = Server;
 }
 
+void RelayState::rememberRestrictions(ServerRef Listed, TimePoint Now) {
+  for (auto It = RestrictedServers.begin(); It != RestrictedServers.end();) {
+    const PoolServer &S = *It->second;
+    const bool Limited =
+        isLimited(S.Limit) && Now - S.Limit.NamedAt < LimitMemoryTime;
+    It = isPaused(S.Pause, Now) || Limited ? std::next(It)
+                                           : RestrictedServers.erase(It);
+  }
+  RestrictedServers[Listed->Info.Id] = std::move(Listed);
+}
+
+bool RelayState::limitServer(const ServerRef &Server,
+                             std::optional<double> PerSecond, TimePoint Now) {
+  if (!PerSecond && !isLimited(Server->Limit))
+    return false;
+  ServerRef Listed = listedServer(*Server);
+  if (Listed == nullptr)
+    Listed = Server;
+  if (!PerSecond)
+    return omitLimit(Listed->Limit, Now);
+  const LimitShare Share = Sharing->shareOf(Listed->Info.Id, *PerSecond, Now);
+  if (!nameLimit(Listed->Limit, *PerSecond, Share, Now))
+    return false;
+  rememberRestrictions(std::move(Listed), Now);
+  return true;
+}
+
 bool RelayState::pauseServer(const ServerRef &Server, Duration Time,
                              TimePoint Now) {
   ServerRef Listed = listedServer(*Server);
   if (Listed == nullptr)
     Listed = Server;
   const bool Began = extendPause(Listed->Pause, Time, Now);
-  for (auto It = PausedServers.begin(); It != PausedServers.end();)
-    It = isPaused(It->second->Pause, Now) ? std::next(It)
-                                          : PausedServers.erase(It);
-  PausedServers[Server->Info.Id] = std::move(Listed);
+  rememberRestrictions(std::move(Listed), Now);
   return Began;
 }
 
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -8,6 +8,7 @@
 #include "core/relay/RelayRequest.h"
 #include "core/relay/RouteTable.h"
 #include "core/relay/ServerFeed.h"
+#include "core/relay/SharingInstances.h"
 #include "core/relay/SplitPicker.h"
 #include <map>
 #include <memory>
@@ -18,6 +19,8 @@
 
 /// Construction options of a RelayState.
 struct RelayStateOptions {
+  /// Name of this instance.
+  std::string Instance;
   std::string Zone;
   ExtraLoadLimits ExtraLoad;
   /// Number of instances assumed until the actual number is known. A high
@@ -58,6 +61,17 @@
   /// incarnation, also if the discovery feed removes it and lists it again.
   /// Returns true if a pause began. Call grantPermits() afterwards.
   bool pauseServer(const ServerRef &Server, Duration Time, TimePoint Now);
+  /// Records a response of \p Server, which names a limit of \p PerSecond
+  /// requests per second over all instances, or none. Applies to its
+  /// incarnation, like pauseServer(). Returns true if the limit began, changed
+  /// or ended. Call grantPermits() then.
+  bool limitServer(const ServerRef &Server, std::optional<double> PerSecond,
+                   TimePoint Now);
+  /// The instances that divide the limits of servers.
+  SharingInstances &sharing() { return *Sharing; }
+  /// Called when queued attempts may get a permit at a time although none ends:
+  /// grantPermits() is due then. May be empty.
+  std::function<void(TimePoint)> OnPermitDue;
   /// Sets the number of instances that may connect to backend servers and how
   /// many of them are homes, which share what the limits allow; \p SelfIsHome
   /// tells whether this one is. The others get one connection to each server,
@@ -106,8 +120,11 @@
   /// been removed and listed again since it got an attempt; null if there is
   /// none.
   ServerRef listedServer(const PoolServer &Server);
-  /// Lets a server that was removed and is listed again continue its pause.
-  void restorePause(const ServerRef &Server);
+  /// Lets a server that was removed and is listed again continue its pause and
+  /// its limit.
+  void restoreRestrictions(const ServerRef &Server);
+  /// Remembers the restrictions of \p Listed and forgets those that have ended.
+  void rememberRestrictions(ServerRef Listed, TimePoint Now);
   void updateConnectionShares(TimePoint Now);
   /// Number of instances that share the base of the extra load.
   int budgetSharers() const;
@@ -121,8 +138,9 @@
   /// Service name by server ID.
   std::map<std::string, std::string> ServiceOf;
   LeavingServers Leaving;
-  /// Servers by id whose last pause may not be over.
-  std::map<std::string, ServerRef> PausedServers;
+  /// Servers by id whose last pause or limit may not be over.
+  std::map<std::string, ServerRef> RestrictedServers;
+  std::shared_ptr<SharingInstances> Sharing;
   std::map<std::string, std::shared_ptr<RouteStats>> Stats;
   Service Homes;
   /// Response times of homes, by route name.
--- a/src/core/relay/ServiceSnapshot.h
+++ b/src/core/relay/ServiceSnapshot.h
@@ -11,6 +11,8 @@
 struct ServiceSnapshot {
   /// Number of backend servers by ServerState.
   std::array<std::size_t, ServerStateCount> Servers{};
+  /// Backend servers that name a limit.
+  std::size_t Limited = 0;
   std::size_t Queued = 0;
   std::size_t InFlight = 0;
   std::size_t IdleConnections = 0;
--- a/src/relay/HeaderNames.h
+++ b/src/relay/HeaderNames.h
@@ -24,6 +24,9 @@
   std::string MissingParts;
   /// "1" in the responses of a backend server that is leaving.
   std::string Leaving;
+  /// Requests per second that a backend server takes from all instances
+  /// together.
+  std::string Limit;
   /// Load of a backend server as "running,waiting,slots".
   std::string Load;
 };
--- a/src/relay/LinkMessages.cpp
+++ b/src/relay/LinkMessages.cpp
@@ -10,6 +10,9 @@
 
 namespace quetzallead {
 
+/// Bounds what another instance says of the number of instances.
+static constexpr std::uint64_t MaxSharers = 100000;
+
 static absl::string_view view(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -130,6 +133,7 @@
   const std::string Fields =
       absl::StrCat("sheet=", Info.SheetVersion,
                    ";store_lost=", static_cast<int>(Info.StoreLost),
+                   ";sharers=", Info.Sharers,
                    ";elsewhere=", static_cast<int>(Info.TryElsewhere));
   const std::size_t HeadEnd = Response.find("\r\n\r\n") + 4;
   const std::string Code =
@@ -165,6 +169,8 @@
   LinkResponseInfo Out;
   Out.SheetVersion = Number("sheet");
   Out.StoreLost = Number("store_lost") != 0;
+  Out.Sharers =
+      static_cast<int>(std::min<std::uint64_t>(Number("sharers"), MaxSharers));
   Out.TryElsewhere = Number("elsewhere") != 0;
   return Out;
 }
--- a/src/relay/LinkMessages.h
+++ b/src/relay/LinkMessages.h
@@ -39,6 +39,9 @@
   std::uint64_t SheetVersion = 0;
   /// The home has lost the store.
   bool StoreLost = false;
+  /// Instances that divide the limits of backend servers, as the home counts
+  /// them; 0 if it does not say.
+  int Sharers = 0;
   /// The home has not run the request and never will; another one may.
   bool TryElsewhere = false;
 };
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -62,6 +62,7 @@
 
 static RelayStateOptions stateOptions(const RelaySettings &S) {
   RelayStateOptions Options;
+  Options.Instance = S.Instance;
   Options.Zone = S.Zone;
   Options.ExtraLoad = S.ExtraLoad;
   Options.Homes = S.Homes;
@@ -126,7 +127,11 @@
     const Duration Pause = requestedPause(Head);
     if (Pause != absl::ZeroDuration())
       onPauseRequested(Server, Pause);
+    // A misdirected request has reached another server.
+    if (Head.result() != boost::beast::http::status::misdirected_request)
+      onLimitNamed(Server, namedLimit(Head, Environment.Headers));
   };
+  State.OnPermitDue = [this](TimePoint Due) { schedulePermits(Due); };
   LinkCodec.Acknowledged = true;
   LinkCodec.Encode = [this](const ForwardedRequest &Call,
                             const AttemptToEncode &Attempt) {
@@ -374,13 +379,22 @@
   if (Count != State.instances() || Home != WasHome)
     logEvent(LogLevel::Info, "instances_counted",
              {{"count", Count}, {"home", Home}});
+  std::vector<std::string> Sharing;
+  if (Settings.LinkListen.empty())
+    for (const InstanceRecord &Instance : Directory.Instances)
+      Sharing.push_back(Instance.Name);
+  else
+    Sharing = homeNames(Directory, Settings.Homes);
+  const int HomeCount = static_cast<int>(Sharing.size());
+  for (int I = 0; I < Directory.Undecoded; ++I)
+    Sharing.push_back(absl::StrCat("undecoded-", I));
+  State.sharing().update(Sharing, Count, Now);
   if (Settings.LinkListen.empty()) {
     State.setInstanceCount(Count, Count, true, Now);
     return;
   }
   listenForLinks();
-  State.setInstanceCount(Count, countHomes(Directory, Settings.Homes), Home,
-                         Now);
+  State.setInstanceCount(Count, HomeCount, Home, Now);
   const std::vector<ServerRef> NewHomes =
       State.updateHomes(Directory, Settings.Instance, Now);
   Backends.closeRemovedServers();
@@ -491,6 +505,8 @@
 void RelayDaemon::noteHome(const LinkResponseInfo &Info) {
   if (!Info.StoreLost && Info.SheetVersion != 0)
     Contact.onHomeInContact(LoopTimers::now());
+  if (Info.Sharers > 0)
+    State.sharing().onCountHeard(Info.Sharers, LoopTimers::now());
   noteSheetVersion(Info.SheetVersion);
 }
 
@@ -559,6 +575,45 @@
   asio::post(Loop, [this] { State.grantPermits(LoopTimers::now()); });
 }
 
+void RelayDaemon::onLimitNamed(const ServerRef &Server,
+                               std::optional<double> PerSecond) {
+  const PoolServer &S = *Server;
+  if (PerSecond && *PerSecond < 0) {
+    logEvent(LogLevel::Warning, "server_limit_unreadable",
+             {{"server", S.Info.Id}, {"service", S.Info.Service}});
+    return;
+  }
+  const TimePoint Now = LoopTimers::now();
+  if (!State.limitServer(Server, PerSecond, Now))
+    return;
+  if (PerSecond) {
+    const LimitShare Share =
+        State.sharing().shareOf(S.Info.Id, *PerSecond, Now);
+    logEvent(LogLevel::Info, "server_limited",
+             {{"server", S.Info.Id},
+              {"service", S.Info.Service},
+              {"per_second", *PerSecond},
+              {"share", Share.Fraction},
+              {"sharers", Share.Sharers}});
+    Metrics.serverLimited();
+  } else {
+    logEvent(LogLevel::Info, "server_limit_ended",
+             {{"server", S.Info.Id}, {"service", S.Info.Service}});
+  }
+  // Must not run while the response is being parsed.
+  asio::post(Loop, [this] { State.grantPermits(LoopTimers::now()); });
+}
+
+void RelayDaemon::schedulePermits(TimePoint Due) {
+  if (Due >= PermitsDue)
+    return;
+  PermitsDue = Due;
+  PermitTimer = Timers.at(Due, [this](TimePoint Now) {
+    PermitsDue = absl::InfiniteFuture();
+    State.grantPermits(Now);
+  });
+}
+
 void RelayDaemon::scheduleServerExpiry() {
   const TimePoint Due = Feed.nextExpiry();
   ExpiryTimer.reset();
@@ -614,6 +669,7 @@
     Info.SheetVersion =
         State.table() != nullptr ? State.table()->sheet().Version : 0;
     Info.StoreLost = Active && Contact.lost(LoopTimers::now());
+    Info.Sharers = State.sharing().count(LoopTimers::now());
     Info.TryElsewhere = TryElsewhere;
     Bytes = addLinkHeader(std::move(Bytes), RequestId, Info, LinkSecret);
   }
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -54,6 +54,11 @@
   /// Handles a response by which \p Server wants no requests for \p Time, which
   /// is negative if it cannot be read.
   void onPauseRequested(const ServerRef &Server, Duration Time);
+  /// Handles a response of \p Server that names a limit of \p PerSecond
+  /// requests per second, which is negative if it cannot be read, or none.
+  void onLimitNamed(const ServerRef &Server, std::optional<double> PerSecond);
+  /// Sets the timer that grants permits at \p Due at the latest.
+  void schedulePermits(TimePoint Due);
   /// Sets the timer that removes servers whose time to return has passed.
   void scheduleServerExpiry();
   void onRequest(const std::shared_ptr<CallerSession> &Caller,
@@ -167,6 +172,8 @@
   StopPlan Shutdown;
   std::shared_ptr<LoopTimers::Subscription> ShutdownTimer;
   std::shared_ptr<LoopTimers::Subscription> ExpiryTimer;
+  std::shared_ptr<LoopTimers::Subscription> PermitTimer;
+  TimePoint PermitsDue = absl::InfiniteFuture();
 };
 
 } // namespace quetzallead
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/beast/http/status.hpp>
 #include <cmath>
+#include <limits>
 
 namespace quetzallead {
 
@@ -130,6 +131,22 @@
   return Longest;
 }
 
+std::optional<double> namedLimit(const HttpResponseHead &Head,
+                                 const HeaderNames &Names) {
+  const auto Range = Head.equal_range(Names.Limit);
+  if (Range.first == Range.second)
+    return std::nullopt;
+  double Lowest = std::numeric_limits<double>::infinity();
+  for (auto It = Range.first; It != Range.second; ++It) {
+    double PerSecond = 0;
+    if (absl::SimpleAtod(absl::StripAsciiWhitespace(view(It->value())),
+                         &PerSecond) &&
+        PerSecond >= 0)
+      Lowest = std::min(Lowest, PerSecond);
+  }
+  return std::isfinite(Lowest) ? Lowest : -1;
+}
+
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
                                 const HeaderNames &Names) {
   AttemptEnd Out;
@@ -155,10 +172,10 @@
   auto Answer = std::make_shared<BackendResponse>();
   Answer->Status = Response.result_int();
   Answer->Reason = std::string(view(Response.reason()));
-  // An instance that forwards to this one would take the announcement for one
-  // of this instance.
-  Answer->Headers =
-      endToEndHeaders(Response, {"content-length", LinkHeader, Names.Leaving});
+  // An instance that forwards to this one would take the announcements for
+  // those of this instance.
+  Answer->Headers = endToEndHeaders(
+      Response, {"content-length", LinkHeader, Names.Leaving, Names.Limit});
   std::uint64_t Length = 0;
   if (absl::SimpleAtoi(view(Response[http::field::content_length]), &Length))
     Answer->HeadContentLength = Length;
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -8,6 +8,7 @@
 #include "relay/HeaderNames.h"
 #include "relay/HttpExchange.h"
 #include <boost/beast/http/string_body.hpp>
+#include <optional>
 #include <string>
 
 namespace quetzallead {
@@ -38,6 +39,12 @@
 /// read.
 Duration requestedPause(const HttpResponseHead &Head);
 
+/// Requests per second that the sender of \p Head takes from all instances
+/// together; the lowest if several are named. Empty if none is, negative if
+/// none can be read.
+std::optional<double> namedLimit(const HttpResponseHead &Head,
+                                 const HeaderNames &Names);
+
 /// Interprets a finished exchange with a backend server. Moves the body out of
 /// the response.
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -96,6 +96,7 @@
                     AttemptResult Result, Duration Elapsed);
   void serverLeaving() { LeavingCount.Increment(); }
   void serverPaused() { PauseCount.Increment(); }
+  void serverLimited() { LimitCount.Increment(); }
   std::string serialize(const RelaySnapshot &Snapshot);
 
 private:
@@ -163,6 +164,13 @@
       counterFamily("quetzallead_server_pauses_total",
                     "Pauses that backend servers have asked for.")
           .Add({});
+  Counter &LimitCount =
+      counterFamily("quetzallead_server_limits_total",
+                    "Limits that backend servers have named or changed.")
+          .Add({});
+  Family<Gauge> &LimitedServers =
+      gaugeFamily("quetzallead_limited_servers",
+                  "Backend servers that name a limit, by service.");
   Family<Gauge> &Ready = gaugeFamily("quetzallead_ready", "1 while ready.");
   Family<Gauge> &SheetVersion = gaugeFamily("quetzallead_sheet_version",
                                             "Version of the sheet in force.");
@@ -263,6 +271,7 @@
     for (const auto &[Standing, StandingName] : ServerStateNames)
       Servers.Add({{"service", Name}, {"standing", std::string(StandingName)}})
           .Set(static_cast<double>(S.Servers[indexOf(Standing)]));
+    LimitedServers.Add({{"service", Name}}).Set(static_cast<double>(S.Limited));
     Queued.Add(Label).Set(static_cast<double>(S.Queued));
     AttemptsInFlight.Add(Label).Set(static_cast<double>(S.InFlight));
     Idle.Add(Label).Set(static_cast<double>(S.IdleConnections));
@@ -302,6 +311,8 @@
 
 void RelayMetrics::serverPaused() { Impl->serverPaused(); }
 
+void RelayMetrics::serverLimited() { Impl->serverLimited(); }
+
 void RelayMetrics::attemptEnded(const std::string &Service, AttemptCause Cause,
                                 AttemptResult Result, Duration Elapsed) {
   Impl->attemptEnded(Service, Cause, Result, Elapsed);
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -32,6 +32,8 @@
   void serverLeaving();
   /// A backend server has asked for no requests for a while.
   void serverPaused();
+  /// A backend server has named a limit, or a different one.
+  void serverLimited();
   /// All metrics in the text format of Prometheus. The gauges are set
   /// from \p Snapshot.
   std::string serialize(const RelaySnapshot &Snapshot);
--- a/tests/relay/RelayMessagesTest.cpp
+++ b/tests/relay/RelayMessagesTest.cpp
@@ -93,7 +93,7 @@
   const AttemptEnd End = decodeExchangeResult(
       parseResponse("HTTP/1.1 201 Made So\r\nServer-Stamp: s\r\n"
                     "Connection: close\r\nX-A: 1\r\nServer-Leaving: 1\r\n"
-                    "Transfer-Encoding: chunked\r\n\r\n"
+                    "Server-Limit: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
                     "2\r\nok\r\n0\r\n\r\n"),
       Names);
   RelayResult Verdict;
@@ -122,6 +122,29 @@
   }
 }
 
+TEST(RelayMessagesTest, LowestLimitThatCanBeReadCounts) {
+  const HeaderNames Names = platformHeaderNames();
+  const std::pair<const char *, std::optional<double>> Cases[] = {
+      {"X: 1\r\n", std::nullopt},
+      {"Server-Limit: 12.5\r\n", 12.5},
+      {"server-limit:  0 \r\n", 0},
+      {"Server-Limit: 9\r\nServer-Limit: 3\r\n", 3},
+      {"Server-Limit: 9\r\nServer-Limit: -3\r\n", 9},
+      {"Server-Limit: 1e99\r\n", 1e99},
+      {"Server-Limit: 1e999\r\n", -1},
+      {"Server-Limit: -1\r\n", -1},
+      {"Server-Limit: nan\r\n", -1},
+      {"Server-Limit: inf\r\n", -1},
+      {"Server-Limit: few\r\n", -1},
+      {"Server-Limit:\r\n", -1}};
+  for (const auto &[Header, PerSecond] : Cases) {
+    const HttpExchangeResult End =
+        parseResponse(std::string("HTTP/1.1 200 OK\r\n") + Header +
+                      "Content-Length: 0\r\n\r\n");
+    EXPECT_EQ(namedLimit(*End.Response, Names), PerSecond) << Header;
+  }
+}
+
 TEST(RelayMessagesTest, LongestRetryAfterOfARejectionIsThePause) {
   const Duration None = absl::ZeroDuration();
   const std::pair<const char *, Duration> Cases[] = {
--- a/tests/relay/RelayRequestHarness.h
+++ b/tests/relay/RelayRequestHarness.h
@@ -20,6 +20,9 @@
     Options.ExtraLoad.Base = 1000;
     Options.AssumedInstances = 1;
     State = std::make_unique<RelayState>(Options);
+    State->OnPermitDue = [this](TimePoint Due) {
+      PermitsDue = std::min(PermitsDue, Due);
+    };
     std::vector<FeedChange> Servers;
     Sheet.Version = 1;
     RequestRoute.Name = "r";
@@ -66,7 +69,13 @@
   /// Advances the clock by \p Time and fires the timers that fall due.
   void advance(Duration Time) {
     const TimePoint End = Now + Time;
-    while (Request->nextTimer() <= End) {
+    while (std::min(Request->nextTimer(), PermitsDue) <= End) {
+      if (PermitsDue < Request->nextTimer()) {
+        Now = std::max(Now, PermitsDue);
+        PermitsDue = absl::InfiniteFuture();
+        State->grantPermits(Now);
+        continue;
+      }
       Now = std::max(Now, Request->nextTimer());
       step([this](RelayActions &Out) { Request->onTimer(Now, Out); });
     }
@@ -101,6 +110,8 @@
   RouteSheet Sheet;
   Route RequestRoute;
   std::unique_ptr<RelayState> State;
+  /// When the state wants permits to be granted.
+  TimePoint PermitsDue = absl::InfiniteFuture();
   std::unique_ptr<RelayRequest> Request;
   /// Server IDs of the attempts sent, in order.
   std::vector<std::string> SentServers;
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -336,3 +336,70 @@
     EXPECT_EQ(W.SentServers.size(), 1u);
   }
 }
+
+TEST(RelayRequestTest, RequestWaitsForTheLimitOfItsServer) {
+  RelayRequestHarness W(1, 1);
+  W.startRequest();
+  W.State->limitServer(W.serverOf(0), 10, W.Now);
+  W.endAttempt(0, AttemptResult::Answered);
+  W.startRequest();
+  W.advance(absl::Milliseconds(90));
+  EXPECT_EQ(W.SentServers.size(), 1u);
+  W.advance(absl::Milliseconds(20));
+  EXPECT_EQ(W.SentServers.size(), 2u);
+}
+
+TEST(RelayRequestTest, RequestThatALimitDelaysTooLongIsRejectedAtOnce) {
+  RelayRequestHarness W(1, 1);
+  W.startRequest();
+  W.State->limitServer(W.serverOf(0), 0.5, W.Now);
+  W.endAttempt(0, AttemptResult::Answered);
+  W.Verdict.reset();
+  W.startRequest();
+  ASSERT_TRUE(W.answered());
+  EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Rejected);
+  EXPECT_GE(W.Verdict->RetryAfter, absl::Milliseconds(900));
+  EXPECT_EQ(W.SentServers.size(), 1u);
+}
+
+// The first attempt is lost, and the limit leaves no second one in time.
+TEST(RelayRequestTest, RetryThatALimitDelaysTooLongIsNotHeld) {
+  RelayRequestHarness W(1, 1);
+  W.startRequest();
+  W.State->limitServer(W.serverOf(0), 0.5, W.Now);
+  W.endAttempt(0, AttemptResult::Shed);
+  W.advance(absl::Milliseconds(1));
+  EXPECT_TRUE(W.answered());
+}
+
+TEST(RelayRequestTest, SurveyLeavesALimitedShardOutIfCoverageAllows) {
+  RelayRequestHarness W(4, 1);
+  W.startRequest();
+  const ServerRef Limited = W.serverOf(0);
+  for (std::size_t Attempt = 0; Attempt < 4; ++Attempt)
+    W.endAttempt(Attempt, AttemptResult::Answered);
+  W.State->limitServer(Limited, 1, W.Now);
+  W.SentServers.clear();
+  W.startRequest();
+  EXPECT_EQ(W.SentServers.size(), 3u);
+}
+
+TEST(RelayRequestTest, LimitEndsWithTheIncarnation) {
+  RelayRequestHarness W(1, 1);
+  W.startRequest();
+  const ServerRef Old = W.serverOf(0);
+  DiscoveredServer Info = Old->Info;
+  W.State->limitServer(Old, 1, W.Now);
+  W.endAttempt(0, AttemptResult::Answered);
+  // Removed and listed again: the same incarnation.
+  W.State->applyFeedChanges({FeedChange{Info.Id, std::nullopt}}, W.Now);
+  W.State->applyFeedChanges({FeedChange{Info.Id, Info}}, W.Now);
+  W.Verdict.reset();
+  W.startRequest();
+  EXPECT_EQ(W.SentServers.size(), 1u);
+  Info.StartedAtMillis = 7;
+  W.State->applyFeedChanges({FeedChange{Info.Id, Info}}, W.Now);
+  W.Verdict.reset();
+  W.startRequest();
+  EXPECT_EQ(W.SentServers.size(), 2u);
+}
--- a/tests/relay/ServerLimitTest.cpp
+++ b/tests/relay/ServerLimitTest.cpp
@@ -37,3 +37,22 @@
   absl::SleepFor(absl::Milliseconds(500));
   EXPECT_LE(requestsWithin(absl::Seconds(4)), mostInFourSeconds(10));
 }
+
+// A server that takes none is asked now and then, so that its recovery shows.
+TEST_F(ServerLimitTest, LimitThatTheServerNoLongerNamesEnds) {
+  askUntilServed();
+  nameLimit("0");
+  askUntilServed();
+  EXPECT_LE(requestsWithin(absl::Seconds(4)), mostInFourSeconds(0));
+  Backend.setResponse("200 OK", "");
+  await([&] { return requestsWithin(absl::Milliseconds(100)) > 10; });
+}
+
+TEST_F(ServerLimitTest, LimitsThatCannotBeReadAreIgnored) {
+  askUntilServed();
+  for (const char *Value : {"-1", "", "few", "nan", "inf", "1e999", "1e99"}) {
+    nameLimit(Value);
+    EXPECT_EQ(ask(), 200u) << Value;
+    EXPECT_GT(requestsWithin(absl::Milliseconds(200)), 20) << Value;
+  }
+}
