--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelaySession.h"
 #include "relay/AttemptCodec.h"
 #include "relay/RelayMetrics.h"
+#include "relay/RequestFingerprint.h"
 #include "runtime/Logger.h"
 
 namespace quetzallead {
@@ -141,6 +142,7 @@
             {"cause", nameOf(AttemptCauseNames, Request.causeOf(Attempt))},
             {"result", nameOf(AttemptResultNames, End.Result)},
             {"status", Status},
+            {"fingerprint", requestFingerprint(Call)},
             {"ms", absl::ToInt64Milliseconds(Now - Request.sentAt(Attempt))}});
 }
 
