--- a/tests/relay/PathEchoServer.h
+++ b/tests/relay/PathEchoServer.h
@@ -7,6 +7,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdint>
+#include <list>
 #include <mutex>
 #include <string>
 #include <sys/socket.h>
@@ -17,7 +18,9 @@
 namespace quetzallead {
 
 /// A backend server that responds to each request with the request's path,
-/// after 500 ms if the path is "/slow", or as set. Uses one thread per
+/// after 500 ms if the path is "/slow", or as set. It ends when it begins to
+/// run
+/// "/crash": it closes its connections and accepts no more. Uses one thread per
 /// connection.
 class PathEchoServer {
 public:
@@ -30,8 +33,10 @@
         boost::asio::ip::tcp::socket Socket = Listener.accept(Fault);
         if (Fault || Stopped)
           return;
+        std::lock_guard<std::mutex> Lock(Mutex);
+        Peers.push_back(std::move(Socket));
         ConnectionThreads.emplace_back(
-            [this, Peer = std::move(Socket)]() mutable { serve(Peer); });
+            [this, &Peer = Peers.back()] { serve(Peer); });
       }
     });
   }
@@ -40,13 +45,15 @@
     boost::system::error_code Ignored;
     // Unblocks the pending accept().
     boost::asio::ip::tcp::socket WakeUp(Loop);
-    WakeUp.connect(Listener.local_endpoint(), Ignored);
+    WakeUp.connect(Endpoint, Ignored);
     AcceptThread.join();
+    for (auto &Peer : Peers)
+      ::shutdown(Peer.native_handle(), SHUT_RDWR);
     for (std::thread &T : ConnectionThreads)
       T.join();
   }
   std::string address() const {
-    return "127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(Endpoint.port());
   }
 
   /// Sets the status, such as "200 OK", and further header lines.
@@ -60,6 +67,8 @@
   /// Closes the connection after the first byte of each body.
   std::atomic<bool> BreaksOff{false};
   std::atomic<int> Requests{0};
+  /// It has run "/crash".
+  std::atomic<bool> Crashed{false};
   /// Requests whose connection was closed before the response was sent.
   std::atomic<int> DisconnectedRequests{0};
 
@@ -82,6 +91,10 @@
       Buffer.erase(0, End);
       ++Requests;
       const std::string Path = Head.substr(4, Head.find(' ', 4) - 4);
+      if (Path == "/crash") {
+        crash();
+        return;
+      }
       if (Path == "/slow")
         std::this_thread::sleep_for(std::chrono::milliseconds(500));
       char Byte = 0;
@@ -98,13 +111,24 @@
     }
   }
 
+  void crash() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Crashed = true;
+    // Ends the pending accept() and refuses connections from now on.
+    ::shutdown(Listener.native_handle(), SHUT_RDWR);
+    for (auto &Peer : Peers)
+      ::shutdown(Peer.native_handle(), SHUT_RDWR);
+  }
+
   boost::asio::io_context Loop;
   boost::asio::ip::tcp::acceptor Listener;
+  const boost::asio::ip::tcp::endpoint Endpoint = Listener.local_endpoint();
   std::atomic<bool> Stopped{false};
   std::mutex Mutex;
   std::string Status = "200 OK";
   std::string Headers;
   std::thread AcceptThread;
+  std::list<boost::asio::ip::tcp::socket> Peers;
   std::vector<std::thread> ConnectionThreads;
 };
 
--- a/tests/relay/RelayWithStore.h
+++ b/tests/relay/RelayWithStore.h
@@ -7,6 +7,7 @@
 #include "relay/FakeStore.h"
 #include "relay/PathEchoServer.h"
 #include "relay/RelayDaemon.h"
+#include <atomic>
 #include <boost/asio/read_until.hpp>
 #include <csignal>
 #include <gtest/gtest.h>
@@ -31,21 +32,15 @@
 /// Runs a relay that follows a store over HTTP, with one backend server.
 class RelayWithStore : public testing::Test {
 protected:
-  RelayWithStore() {
+  /// \p LinkListen is the relay's address for other instances; it is alone if
+  /// that is empty.
+  explicit RelayWithStore(const std::string &LinkListen = "") {
     Store.put("op/config", sheet(3, "/"));
     putServer("i-1", "ready");
-    RelaySettings Settings;
-    Settings.Instance = "i";
-    Settings.Zone = "a";
     CallerPort = freePort();
-    Settings.CallerListen = absl::StrCat("127.0.0.1:", CallerPort);
-    Settings.ReadinessListen = absl::StrCat("127.0.0.1:", freePort());
-    Settings.StoreAddress = Store.address();
-    Settings.StopGrace = absl::Seconds(3);
+    const RelaySettings Settings = settings("i", CallerPort, LinkListen);
     LeavingTime = Settings.LeavingTime;
-    Relay = std::make_unique<RelayDaemon>(Settings, platformDeployment());
-    auto Bound = capture([&] { return Relay->listen(); });
-    EXPECT_TRUE(std::holds_alternative<bool>(Bound));
+    Relay = startListening(Settings);
     RelayThread = std::thread([this] { Relay->run(); });
   }
   ~RelayWithStore() override {
@@ -54,6 +49,27 @@
     Relay.reset();
   }
 
+  RelaySettings settings(const std::string &Instance, int Port,
+                         const std::string &LinkListen) const {
+    RelaySettings Settings;
+    Settings.Instance = Instance;
+    Settings.Zone = "a";
+    Settings.CallerListen = absl::StrCat("127.0.0.1:", Port);
+    Settings.ReadinessListen = absl::StrCat("127.0.0.1:", freePort());
+    Settings.LinkListen = LinkListen;
+    Settings.StoreAddress = Store.address();
+    Settings.StopGrace = absl::Seconds(3);
+    return Settings;
+  }
+  static std::unique_ptr<RelayDaemon>
+  startListening(const RelaySettings &Settings) {
+    auto Started =
+        std::make_unique<RelayDaemon>(Settings, platformDeployment());
+    auto Bound = capture([&] { return Started->listen(); });
+    EXPECT_TRUE(std::holds_alternative<bool>(Bound));
+    return Started;
+  }
+
   void putServer(const std::string &Id, const std::string &State) {
     putServer(Id, State, Backend, 1);
   }
@@ -65,14 +81,17 @@
                            R"(", "address": ")", Server.address(), "\"}"));
   }
 
-  /// Sends a request on a new connection and returns the head of the response.
-  std::string askForHead() {
-    boost::asio::ip::tcp::socket Caller(Loop);
+  /// Sends a request for \p Path on a new connection to \p Port and returns the
+  /// head of the response.
+  std::string askForHead(const std::string &Path, int Port) {
+    boost::asio::io_context CallerLoop;
+    boost::asio::ip::tcp::socket Caller(CallerLoop);
     Caller.connect(boost::asio::ip::tcp::endpoint(
         boost::asio::ip::make_address("127.0.0.1"),
-        static_cast<std::uint16_t>(CallerPort)));
-    const std::string Request = "GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: 1"
-                                "\r\nDeadline-Ms: 2500\r\n\r\n";
+        static_cast<std::uint16_t>(Port)));
+    const std::string Request = absl::StrCat(
+        "GET ", Path, " HTTP/1.1\r\nHost: h\r\nRequest-Id: ", ++LastRequestId,
+        "\r\nDeadline-Ms: 2500\r\n\r\n");
     boost::asio::write(Caller, boost::asio::buffer(Request));
     std::string Text;
     boost::system::error_code Fault;
@@ -80,9 +99,11 @@
                             "\r\n\r\n", Fault);
     return Text;
   }
+  std::string askForHead() { return askForHead("/a", CallerPort); }
   /// Sends a request and returns the status.
-  unsigned ask() {
-    const std::string Text = askForHead();
+  unsigned ask() { return ask("/a", CallerPort); }
+  unsigned ask(const std::string &Path, int Port) {
+    const std::string Text = askForHead(Path, Port);
     return Text.size() < 12
                ? 0
                : static_cast<unsigned>(std::stoul(Text.substr(9, 3)));
@@ -99,7 +120,7 @@
     ASSERT_TRUE(Holds);
   }
 
-  boost::asio::io_context Loop;
+  std::atomic<int> LastRequestId{0};
   FakeStore Store;
   PathEchoServer Backend;
   /// Not registered in the store at first.
