relay: a request under which three servers have ended is not sent to servers

Cause: repeats have new ids and come to any instance, and nothing was remembered about their content. The logs show each end under the first attempt of another id, so hedges and retries are ruled out.

Change: a lost attempt is followed by a new connection; if the server refuses it, it has ended under the content of the request. Three ends block the content at all instances: ends go to all homes at once, and digests in responses between instances show what was missed. A complete response clears a content, and suspected requests run apart from others, so that those that merely ran beside an end go on being served.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -210,6 +210,16 @@
   return Tier::LastResort;
 }
 
+/// Whether \p Request would run beside a suspected request, or is one itself
+/// and would not be alone.
+static bool meetsSuspect(const PoolServer &S,
+                         const AttemptPermitRequest &Request) {
+  return Request.Suspected
+             ? !S.Pending.empty()
+             : std::any_of(S.Pending.begin(), S.Pending.end(),
+                           [](const PendingAttempt &P) { return P.Suspected; });
+}
+
 ServerRef BackendPool::choose(const AttemptPermitRequest &Request,
                               TimePoint Now, bool &AnyEligible) {
   ServerRef Best;
@@ -218,7 +228,9 @@
   for (const auto &[Id, S] : Servers) {
     if (!eligible(*S, Request, Now))
       continue;
-    const Tier T = tierOf(state(*S, Now));
+    Tier T = tierOf(state(*S, Now));
+    if (T == Tier::Healthy && meetsSuspect(*S, Request))
+      T = Tier::Overdue;
     if (!Request.AllowUnhealthy &&
         (T != Tier::Healthy || loadAhead(*S, Now) >= Policy.MaxHedgeTargetLoad))
       continue;
@@ -251,11 +263,13 @@
   return Best;
 }
 
-void BackendPool::addPending(PoolServer &S, const RouteStats &Stats,
+void BackendPool::addPending(PoolServer &S, const AttemptPermitRequest &Request,
                              TimePoint Now) const {
+  const RouteStats &Stats = *Request.Stats;
   const Duration Expected = Stats.expected() * slowness(S, Now) * OverdueRatio;
   const Duration OverdueAfter = std::max(Expected, Stats.hedgeDelay());
-  S.Pending.push_back(PendingAttempt{Now, Now + OverdueAfter});
+  S.Pending.push_back(
+      PendingAttempt{Now, Now + OverdueAfter, Request.Suspected});
   if (isPaused(S.Pause, Now))
     ++S.Pause.Tries;
   spendLimit(S.Limit, limitShare(S, Now), Now);
@@ -284,7 +298,7 @@
   bool AnyEligible = false;
   P.Server = choose(Request, Now, AnyEligible);
   if (P.Server != nullptr) {
-    addPending(*P.Server, *Request.Stats, Now);
+    addPending(*P.Server, Request, Now);
     P.Outcome = AttemptPermitOutcome::Granted;
     return P;
   }
@@ -406,7 +420,7 @@
     if (S == nullptr && AnyEligible)
       continue;
     if (S != nullptr)
-      addPending(*S, *It->Request.Stats, Now);
+      addPending(*S, It->Request, Now);
     AttemptPermitCallback Notify = std::move(It->Notify);
     Queue.erase(It);
     Notify(S, Now);
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -39,6 +39,8 @@
   std::vector<ServerRef> Excluded;
   /// If false, only a healthy server with low load is chosen; used for hedges.
   bool AllowUnhealthy = true;
+  /// A server has ended while it had a request of this content.
+  bool Suspected = false;
 };
 
 /// Called when a queued request is granted a slot, with null if no eligible
@@ -64,8 +66,10 @@
 /// attempt is used only if no healthy one is available. A server that reports
 /// requests in its own queue gets one attempt at a time from each instance, so
 /// that the other requests wait in this queue, which is ordered by rank and by
-/// QueueOrder. A server that has asked for a pause gets none, and one that
-/// names a limit this instance's share of it. Not thread-safe.
+/// QueueOrder. Suspected requests are kept apart from others as far as
+/// possible, so that an end tells which one caused it. A server that has asked
+/// for a pause gets none, and one that names a limit this instance's share of
+/// it. Not thread-safe.
 class BackendPool {
 public:
   /// \p Sharing divides the limits of the servers; null if this instance is
@@ -152,7 +156,8 @@
   bool serveOne(bool Late, TimePoint Now);
   /// Calls OnPermitDue if a queued request waits for a limit.
   void announceNextPermit(TimePoint Now) const;
-  void addPending(PoolServer &S, const RouteStats &Stats, TimePoint Now) const;
+  void addPending(PoolServer &S, const AttemptPermitRequest &Request,
+                  TimePoint Now) const;
   void recordOutcome(PoolServer &S, const AttemptReport &Report,
                      RouteStats &Stats, TimePoint Now);
 
--- a/src/core/relay/PoolServer.h
+++ b/src/core/relay/PoolServer.h
@@ -15,6 +15,8 @@
   TimePoint Sent;
   /// Time from which the attempt counts as overdue.
   TimePoint Overdue;
+  /// AttemptPermitRequest::Suspected.
+  bool Suspected = false;
 };
 
 /// State of one backend server as observed by this instance; maintained by
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -176,6 +176,7 @@
   Request.ObjectiveDeadline = Plan.ObjectiveDeadline;
   Request.LatestStart = latestStart();
   Request.Excluded = P.TriedServers;
+  Request.Suspected = IsSuspected && IsSuspected();
   return Request;
 }
 
@@ -188,10 +189,14 @@
       [this, Index, Cause](const ServerRef &Server, TimePoint When) {
         Parts[Index].WaitId = 0;
         RelayActions Next;
-        if (Server != nullptr)
+        if (Server != nullptr && !blocked()) {
           send(Index, Server, Cause, When, Next);
-        else
+        } else {
+          if (Server != nullptr)
+            Plan.Targets[Index].Pool->release(Server, When, AttemptReport(),
+                                              *Plan.Stats, When);
           failPart(Index);
+        }
         finishIfDecided(When, Next);
         updateNextTimer();
         OnDequeued(std::move(Next));
@@ -318,6 +323,10 @@
 void RelayRequest::retry(std::size_t Index, TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   RelayTarget &T = Plan.Targets[Index];
+  if (blocked()) {
+    failPart(Index);
+    return;
+  }
   // An attempt that was never sent reached no server, so its repeat counts as
   // the first attempt.
   const bool First = P.Sent == 0;
@@ -344,6 +353,10 @@
 void RelayRequest::hedge(std::size_t Index, TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   RelayTarget &T = Plan.Targets[Index];
+  if (blocked()) {
+    P.HedgeAt = absl::InfiniteFuture();
+    return;
+  }
   const std::size_t OpenParts = Parts.size() - AnsweredParts - FailedParts;
   const bool FewPartsOpen = OpenParts <= 2;
   // If most parts are late, the cause is common to them: this instance is
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -67,6 +67,11 @@
   /// Called with the resulting actions when a queued attempt is granted a slot
   /// or dropped from the queue. Must be set before start().
   std::function<void(RelayActions)> OnDequeued;
+  /// Whether the request must not be sent to another server; may be empty.
+  std::function<bool()> IsBlocked;
+  /// Whether a server has ended under a request of the same content; may be
+  /// empty.
+  std::function<bool()> IsSuspected;
 
   void start(TimePoint Now, RelayActions &Out);
   void onAttemptEnd(std::size_t Attempt, const AttemptEnd &End, TimePoint Now,
@@ -160,6 +165,7 @@
   bool mayHaveExecuted() const;
   std::size_t neededParts() const;
   void updateNextTimer();
+  bool blocked() const { return IsBlocked && IsBlocked(); }
   bool isIdempotent() const {
     return Plan.MatchedRoute->Kind == RequestKind::Idempotent;
   }
--- a/src/relay/AttemptCodec.h
+++ b/src/relay/AttemptCodec.h
@@ -34,6 +34,17 @@
   std::function<void(const std::shared_ptr<PoolServer> &,
                      const HttpResponseHead &)>
       OnHead;
+  /// Called when a server has answered a request completely; may be empty.
+  std::function<void(const ForwardedRequest &)> OnAnswered;
+  /// Called when a server has closed the connection of a request that it has
+  /// not answered completely; may be empty.
+  std::function<void(const std::shared_ptr<PoolServer> &,
+                     const ForwardedRequest &)>
+      OnLost;
+  /// Whether a request must not be sent to another server; may be empty.
+  std::function<bool(const ForwardedRequest &)> IsBlocked;
+  /// Whether a server has ended under a request of this content; may be empty.
+  std::function<bool(const ForwardedRequest &)> IsSuspected;
   /// The peer acknowledges a request that it has read.
   bool Acknowledged = false;
 };
--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -66,6 +66,7 @@
     It->second.ReconnectDelay = absl::ZeroDuration();
     markReachable(It->second);
     updateIdleCount(It->second);
+    finishAliveChecks(It->second, true);
   };
   C->OnClosed = [this, Key, Raw](bool WasConnected) {
     onClosed(Key, Raw, WasConnected);
@@ -139,6 +140,21 @@
     openConnection(Entry)->connect();
 }
 
+void BackendClient::checkAlive(const ServerRef &Server,
+                               std::function<void(bool)> Done) {
+  ServerEntry &Entry = entryFor(Server);
+  Entry.AliveChecks.push_back(std::move(Done));
+  if (Entry.AliveChecks.size() == 1)
+    openConnection(Entry)->connect();
+}
+
+void BackendClient::finishAliveChecks(ServerEntry &Entry, bool Alive) {
+  std::vector<std::function<void(bool)>> Checks;
+  Checks.swap(Entry.AliveChecks);
+  for (const auto &Done : Checks)
+    Done(Alive);
+}
+
 void BackendClient::onClosed(const PoolServer *Key,
                              const HttpConnection *Closed, bool WasConnected) {
   auto It = Entries.find(Key);
@@ -158,6 +174,7 @@
     return;
   markUnreachable(Entry, "no_connection");
   scheduleReconnect(Entry);
+  finishAliveChecks(Entry, false);
 }
 
 void BackendClient::scheduleReconnect(ServerEntry &Entry) {
--- a/src/relay/BackendClient.h
+++ b/src/relay/BackendClient.h
@@ -4,6 +4,7 @@
 #include "absl/strings/string_view.h"
 #include "core/relay/BackendPool.h"
 #include "relay/HttpConnection.h"
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -26,6 +27,9 @@
                                        HttpExchangeCallback Done);
   /// Opens a connection ahead of the first request if there is none yet.
   void preconnect(const ServerRef &Server);
+  /// Tells \p Done whether \p Server takes a new connection. Not called if the
+  /// server is removed meanwhile.
+  void checkAlive(const ServerRef &Server, std::function<void(bool)> Done);
   /// Closes idle connections to servers that are no longer present.
   void closeRemovedServers();
 
@@ -35,6 +39,8 @@
     std::vector<std::shared_ptr<HttpConnection>> Connections;
     Duration ReconnectDelay = absl::ZeroDuration();
     std::shared_ptr<LoopTimers::Subscription> ReconnectTimer;
+    /// Called when the next connection is open or could not be opened.
+    std::vector<std::function<void(bool)>> AliveChecks;
   };
 
   ServerEntry &entryFor(const ServerRef &Server);
@@ -44,6 +50,7 @@
   static void updateIdleCount(ServerEntry &Entry);
   static void markUnreachable(ServerEntry &Entry, absl::string_view Reason);
   static void markReachable(ServerEntry &Entry);
+  static void finishAliveChecks(ServerEntry &Entry, bool Alive);
   void onExchangeEnd(const PoolServer *Key, AttemptResult Result,
                      Duration Elapsed);
   void onClosed(const PoolServer *Key, const HttpConnection *Closed,
--- a/src/relay/ForwardedRequest.h
+++ b/src/relay/ForwardedRequest.h
@@ -19,6 +19,8 @@
   /// False if the request has neither Content-Length nor Transfer-Encoding.
   bool HasBody = false;
   std::string RequestId;
+  /// requestFingerprint(), if it has been computed.
+  std::string Fingerprint;
   /// The caller's timeout; empty if the request does not state one.
   std::optional<Duration> RemainingTime;
   TimePoint ArrivalTime;
--- a/src/relay/LinkMessages.cpp
+++ b/src/relay/LinkMessages.cpp
@@ -75,7 +75,8 @@
                    ";sheet=", Info.SheetVersion,
                    ";repeated=", static_cast<int>(Info.Repeated),
                    ";passed_back=", static_cast<int>(Info.PassedBack),
-                   ";wants_sheet=", static_cast<int>(Info.WantsSheet));
+                   ";wants_sheet=", static_cast<int>(Info.WantsSheet),
+                   ";crashes=", static_cast<int>(Info.ExchangesCrashes));
   const std::string Code =
       sign(Secret, {Fields, Call.Method, Call.Target, Call.Host, Call.RequestId,
                     Millis, Call.Body});
@@ -114,6 +115,7 @@
   Out.Repeated = Number("repeated") != 0;
   Out.PassedBack = Number("passed_back") != 0;
   Out.WantsSheet = Number("wants_sheet") != 0;
+  Out.ExchangesCrashes = Number("crashes") != 0;
   return Out;
 }
 
@@ -130,11 +132,11 @@
 std::string addLinkHeader(std::string Response, const std::string &RequestId,
                           const LinkResponseInfo &Info,
                           const std::string &Secret) {
-  const std::string Fields =
-      absl::StrCat("sheet=", Info.SheetVersion,
-                   ";store_lost=", static_cast<int>(Info.StoreLost),
-                   ";sharers=", Info.Sharers,
-                   ";elsewhere=", static_cast<int>(Info.TryElsewhere));
+  const std::string Fields = absl::StrCat(
+      "sheet=", Info.SheetVersion,
+      ";store_lost=", static_cast<int>(Info.StoreLost),
+      ";sharers=", Info.Sharers, ";crash_digest=", Info.CrashDigest,
+      ";elsewhere=", static_cast<int>(Info.TryElsewhere));
   const std::size_t HeadEnd = Response.find("\r\n\r\n") + 4;
   const std::string Code =
       sign(Secret, {Fields, RequestId, statusCode(Response),
@@ -145,10 +147,10 @@
   return Response;
 }
 
-std::string encodeLinkSheet(absl::string_view Sheet, bool KeepOpen) {
+std::string encodeLinkBody(absl::string_view Body, bool KeepOpen) {
   return absl::StrCat("HTTP/1.1 200 OK\r\n",
                       KeepOpen ? "" : "Connection: close\r\n",
-                      "Content-Length: ", Sheet.size(), "\r\n\r\n", Sheet);
+                      "Content-Length: ", Body.size(), "\r\n\r\n", Body);
 }
 
 std::optional<LinkResponseInfo> decodeLinkResponse(const HttpResponse &Response,
@@ -169,6 +171,7 @@
   LinkResponseInfo Out;
   Out.SheetVersion = Number("sheet");
   Out.StoreLost = Number("store_lost") != 0;
+  Out.CrashDigest = Number("crash_digest");
   Out.Sharers =
       static_cast<int>(std::min<std::uint64_t>(Number("sharers"), MaxSharers));
   Out.TryElsewhere = Number("elsewhere") != 0;
--- a/src/relay/LinkMessages.h
+++ b/src/relay/LinkMessages.h
@@ -31,6 +31,8 @@
   bool PassedBack = false;
   /// The caller's request is for the sheet of the home.
   bool WantsSheet = false;
+  /// The body holds crash reports, and the response will.
+  bool ExchangesCrashes = false;
 };
 
 /// What a home tells the asking instance about a response.
@@ -42,6 +44,8 @@
   /// Instances that divide the limits of backend servers, as the home counts
   /// them; 0 if it does not say.
   int Sharers = 0;
+  /// CrashSuspects::digest() of the home.
+  std::uint64_t CrashDigest = 0;
   /// The home has not run the request and never will; another one may.
   bool TryElsewhere = false;
 };
@@ -66,9 +70,10 @@
                           const LinkResponseInfo &Info,
                           const std::string &Secret);
 
-/// Encodes the response to a request for the sheet; an empty \p Sheet tells
-/// that the asking instance has the newest one.
-std::string encodeLinkSheet(absl::string_view Sheet, bool KeepOpen);
+/// Encodes a response with \p Body to a request of another instance. The
+/// response to a request for the sheet is empty if the asking instance has the
+/// newest one.
+std::string encodeLinkBody(absl::string_view Body, bool KeepOpen);
 
 /// Checks and decodes the link header of a response. Returns nothing if it is
 /// missing, malformed or not signed with \p Secret.
--- a/src/relay/RejectReason.h
+++ b/src/relay/RejectReason.h
@@ -7,11 +7,12 @@
 
 /// Why a request was rejected before it was matched to a route.
 enum class RejectReason {
-  NoSheet,   ///< No sheet has been read yet.
-  NoServers, ///< The backend servers have not been read yet.
-  Stopping,  ///< The instance is shutting down.
-  NoHost,    ///< The request has no host.
-  NoRoute,   ///< No route of the sheet matches.
+  NoSheet,     ///< No sheet has been read yet.
+  NoServers,   ///< The backend servers have not been read yet.
+  Stopping,    ///< The instance is shutting down.
+  NoHost,      ///< The request has no host.
+  NoRoute,     ///< No route of the sheet matches.
+  EndsServers, ///< Backend servers have ended under requests of this content.
 };
 
 inline constexpr NamedValue<RejectReason> RejectReasonNames[] = {
@@ -20,6 +21,7 @@
     {RejectReason::Stopping, "stopping"},
     {RejectReason::NoHost, "no_host"},
     {RejectReason::NoRoute, "no_route"},
+    {RejectReason::EndsServers, "ends_servers"},
 };
 
 } // namespace quetzallead
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelayDaemon.h"
 #include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
+#include "relay/RequestFingerprint.h"
 #include "runtime/Endpoint.h"
 #include "runtime/Logger.h"
 #include <algorithm>
@@ -106,7 +107,7 @@
       Environment(std::move(GivenEnvironment)), Loop(1), Timers(Loop),
       State(stateOptions(Settings)), Metrics(Settings.Instance, Settings.Zone),
       Feed(Settings.ReturnTime, vanishedServerReturnTime(Settings)),
-      Backends(Loop, Timers),
+      Backends(Loop, Timers), Crashes(Backends, Suspects, Environment.Headers),
       Store(Environment.MakeStore(Loop, Timers, Settings.StoreAddress,
                                   Settings.StoreTimeout)),
       CallerListener(Loop), ReadinessListener(Loop), MetricsListener(Loop),
@@ -131,6 +132,35 @@
     if (Head.result() != boost::beast::http::status::misdirected_request)
       onLimitNamed(Server, namedLimit(Head, Environment.Headers));
   };
+  BackendCodec.OnAnswered = [this](const ForwardedRequest &Call) {
+    if (!Call.Fingerprint.empty() &&
+        Suspects.onServed(Call.Fingerprint, LoopTimers::now())) {
+      logEvent(
+          LogLevel::Info, "suspect_cleared",
+          {{"request", Call.RequestId}, {"fingerprint", Call.Fingerprint}});
+      Crashes.push(State.homes(), LinkSecret);
+    }
+  };
+  BackendCodec.OnLost = [this](const ServerRef &Server,
+                               const ForwardedRequest &Call) {
+    onAttemptLost(Server, Call);
+  };
+  auto Fingerprint = [](const ForwardedRequest &Call) {
+    return Call.Fingerprint.empty() ? requestFingerprint(Call)
+                                    : Call.Fingerprint;
+  };
+  BackendCodec.IsBlocked = [this, Fingerprint](const ForwardedRequest &Call) {
+    return !Suspects.empty() &&
+           Suspects.blocks(Fingerprint(Call), LoopTimers::now());
+  };
+  BackendCodec.IsSuspected = [this, Fingerprint](const ForwardedRequest &Call) {
+    return !Suspects.empty() &&
+           Suspects.suspects(Fingerprint(Call), LoopTimers::now());
+  };
+  Crashes.OnChanged = [this] {
+    logEvent(LogLevel::Info, "crash_reports_received",
+             {{"blocked", Suspects.blockedCount(LoopTimers::now())}});
+  };
   State.OnPermitDue = [this](TimePoint Due) { schedulePermits(Due); };
   LinkCodec.Acknowledged = true;
   LinkCodec.Encode = [this](const ForwardedRequest &Call,
@@ -451,7 +481,7 @@
   if (FetchingSheet || Homes.empty() || LinkSecret.empty())
     return;
   FetchingSheet = true;
-  const ServerRef &Asked = Homes[SheetFetches % Homes.size()];
+  const ServerRef Asked = Homes[SheetFetches % Homes.size()];
   ForwardedRequest Call;
   Call.Method = "GET";
   Call.Target = LinkSheetTarget;
@@ -468,18 +498,24 @@
                                      SheetFetchTimeout, LinkSecret);
   Exchange.Deadline = LoopTimers::now() + SheetFetchTimeout;
   Backends.send(Asked, std::move(Exchange),
-                [this](const HttpExchangeResult &End) { onSheetFetched(End); });
+                [this, Asked](const HttpExchangeResult &End) {
+                  onSheetFetched(Asked, End);
+                });
 }
 
-void RelayDaemon::onSheetFetched(const HttpExchangeResult &End) {
+void RelayDaemon::onSheetFetched(const ServerRef &Asked,
+                                 const HttpExchangeResult &End) {
   if (End.Result == AttemptResult::Answered) {
     const auto Info = decodeLinkResponse(
         *End.Response, absl::StrCat("sheet-", SheetFetches), LinkSecret);
     if (Info && !Info->TryElsewhere && !End.Response->body().empty() &&
         adoptSheet(End.Response->body(), 0))
       Contact.onSheetFromHome(LoopTimers::now());
-    if (Info)
+    if (Info) {
       noteHome(*Info);
+      if (Info->CrashDigest != Suspects.digest())
+        Crashes.exchangeWith(Asked, LinkSecret);
+    }
   }
   FetchingSheet = false;
   const Duration Interval = sheetBehind() ? SheetFetchRetryDelay
@@ -604,6 +640,57 @@
   asio::post(Loop, [this] { State.grantPermits(LoopTimers::now()); });
 }
 
+void RelayDaemon::onAttemptLost(const ServerRef &Server,
+                                const ForwardedRequest &Call) {
+  // A server that leaves ends as planned.
+  if (!Server->AcceptsAttempts)
+    return;
+  const std::string Fingerprint = requestFingerprint(Call);
+  Suspects.beginCheck(Fingerprint, LoopTimers::now());
+  Backends.checkAlive(
+      Server, [this, Server, Fingerprint, Id = Call.RequestId](bool Alive) {
+        Suspects.endCheck(Fingerprint);
+        if (!Alive)
+          onServerEnded(Server, Fingerprint, Id);
+      });
+}
+
+void RelayDaemon::onServerEnded(const ServerRef &Server,
+                                const std::string &Fingerprint,
+                                const std::string &RequestId) {
+  const DiscoveredServer &Info = Server->Info;
+  const TimePoint Now = LoopTimers::now();
+  if (!Suspects.onServerEnded(
+          Fingerprint, absl::StrCat(Info.Id, "/", Info.StartedAtMillis), Now))
+    return;
+  logEvent(LogLevel::Warning, "server_ended",
+           {{"server", Info.Id},
+            {"service", Info.Service},
+            {"request", RequestId},
+            {"fingerprint", Fingerprint},
+            {"ends", Suspects.endCount(Fingerprint)},
+            {"blocked", Suspects.blocks(Fingerprint, Now)}});
+  Metrics.serverEnded();
+  Crashes.push(State.homes(), LinkSecret);
+}
+
+void RelayDaemon::rejectBlocked(CallerSession &Caller,
+                                const ForwardedRequest &Call, bool Repeated) {
+  const Duration RetryAfter =
+      Repeated ? absl::ZeroDuration()
+               : Suspects.blockLeft(Call.Fingerprint, LoopTimers::now());
+  // Only a request that no home has run can be said not to have been run.
+  const unsigned Status = Repeated ? 502 : 503;
+  logEvent(LogLevel::Info, "request_rejected",
+           {{"request", Call.RequestId},
+            {"reason", nameOf(RejectReasonNames, RejectReason::EndsServers)},
+            {"fingerprint", Call.Fingerprint},
+            {"status", Status},
+            {"retry_after_ms", absl::ToInt64Milliseconds(RetryAfter)}});
+  Metrics.requestRejected(RejectReason::EndsServers);
+  sendLocalResponse(Caller, Call.RequestId, Status, RetryAfter);
+}
+
 void RelayDaemon::schedulePermits(TimePoint Due) {
   if (Due >= PermitsDue)
     return;
@@ -650,6 +737,7 @@
   Out.Instances = State.instances();
   Out.CallerConnections = CallerSessions.size();
   Out.RequestsInFlight = ActiveRequests.size();
+  Out.BlockedRequests = Suspects.blockedCount(Now);
   Out.Services = State.snapshot(Now);
   return Out;
 }
@@ -669,6 +757,7 @@
     Info.SheetVersion =
         State.table() != nullptr ? State.table()->sheet().Version : 0;
     Info.StoreLost = Active && Contact.lost(LoopTimers::now());
+    Info.CrashDigest = Suspects.digest();
     Info.Sharers = State.sharing().count(LoopTimers::now());
     Info.TryElsewhere = TryElsewhere;
     Bytes = addLinkHeader(std::move(Bytes), RequestId, Info, LinkSecret);
@@ -693,6 +782,7 @@
   case RejectReason::NoSheet:
   case RejectReason::NoServers:
   case RejectReason::Stopping:
+  case RejectReason::EndsServers:
     break;
   }
   return 503;
@@ -799,7 +889,13 @@
     const bool KeepOpen = Asker->mayKeepOpen();
     const bool Newer = State.table()->sheet().Version > Info.SheetVersion;
     respond(*Asker, Call.RequestId,
-            encodeLinkSheet(Newer ? SheetText : "", KeepOpen), KeepOpen);
+            encodeLinkBody(Newer ? SheetText : "", KeepOpen), KeepOpen);
+    return;
+  }
+  if (Info.ExchangesCrashes) {
+    const bool KeepOpen = Asker->mayKeepOpen();
+    respond(*Asker, Call.RequestId,
+            encodeLinkBody(Crashes.answer(Call.Body), KeepOpen), KeepOpen);
     return;
   }
   if (shuttingDown()) {
@@ -856,6 +952,12 @@
     reject(*Caller, Call, RejectReason::NoRoute, Now);
     return;
   }
+  if (!Suspects.empty())
+    Call.Fingerprint = requestFingerprint(Call);
+  if (BackendCodec.IsBlocked(Call)) {
+    rejectBlocked(*Caller, Call, Info.Repeated);
+    return;
+  }
   RelayPlan Plan = State.plan(
       *MatchedRoute, Call.ArrivalTime,
       Call.RemainingTime.value_or(MatchedRoute->Timeout), Call.TransitTime);
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -6,6 +6,7 @@
 #include "relay/AttemptCodec.h"
 #include "relay/BackendClient.h"
 #include "relay/CallerSession.h"
+#include "relay/CrashExchange.h"
 #include "relay/Deployment.h"
 #include "relay/InstanceRegistry.h"
 #include "relay/LinkMessages.h"
@@ -57,6 +58,15 @@
   /// Handles a response of \p Server that names a limit of \p PerSecond
   /// requests per second, which is negative if it cannot be read, or none.
   void onLimitNamed(const ServerRef &Server, std::optional<double> PerSecond);
+  /// Handles an attempt that \p Server has not answered: finds out whether the
+  /// server has ended.
+  void onAttemptLost(const ServerRef &Server, const ForwardedRequest &Call);
+  void onServerEnded(const ServerRef &Server, const std::string &Fingerprint,
+                     const std::string &RequestId);
+  /// Rejects a request under whose content servers have ended. \p Repeated
+  /// tells that another home may have run it.
+  void rejectBlocked(CallerSession &Caller, const ForwardedRequest &Call,
+                     bool Repeated);
   /// Sets the timer that grants permits at \p Due at the latest.
   void schedulePermits(TimePoint Due);
   /// Sets the timer that removes servers whose time to return has passed.
@@ -96,7 +106,7 @@
   /// Asks a home for its sheet if that is newer, and the next one after a
   /// while.
   void fetchSheet();
-  void onSheetFetched(const HttpExchangeResult &End);
+  void onSheetFetched(const ServerRef &Asked, const HttpExchangeResult &End);
   /// Puts \p Text into force if it is a newer sheet; tells whether it was.
   bool adoptSheet(absl::string_view Text, std::uint64_t Revision);
   /// Records what a home says of itself.
@@ -138,6 +148,8 @@
   RelayMetrics Metrics;
   ServerFeed Feed;
   BackendClient Backends;
+  CrashSuspects Suspects;
+  CrashExchange Crashes;
   std::unique_ptr<RevisionedStore> Store;
   std::unique_ptr<PrefixWatcher> SheetWatcher;
   std::unique_ptr<PrefixWatcher> ServerWatcher;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -97,6 +97,7 @@
   void serverLeaving() { LeavingCount.Increment(); }
   void serverPaused() { PauseCount.Increment(); }
   void serverLimited() { LimitCount.Increment(); }
+  void serverEnded() { EndCount.Increment(); }
   std::string serialize(const RelaySnapshot &Snapshot);
 
 private:
@@ -168,6 +169,13 @@
       counterFamily("quetzallead_server_limits_total",
                     "Limits that backend servers have named or changed.")
           .Add({});
+  Counter &EndCount =
+      counterFamily("quetzallead_server_ends_total",
+                    "Ends of backend servers under a request, by request.")
+          .Add({});
+  Family<Gauge> &Blocked = gaugeFamily(
+      "quetzallead_blocked_requests",
+      "Requests, by content, that are not sent to backend servers any more.");
   Family<Gauge> &LimitedServers =
       gaugeFamily("quetzallead_limited_servers",
                   "Backend servers that name a limit, by service.");
@@ -290,6 +298,7 @@
   Instances.Add({}).Set(Snapshot.Instances);
   Callers.Add({}).Set(static_cast<double>(Snapshot.CallerConnections));
   InFlight.Add({}).Set(static_cast<double>(Snapshot.RequestsInFlight));
+  Blocked.Add({}).Set(static_cast<double>(Snapshot.BlockedRequests));
   setServices(Snapshot.Services);
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
@@ -313,6 +322,8 @@
 
 void RelayMetrics::serverLimited() { Impl->serverLimited(); }
 
+void RelayMetrics::serverEnded() { Impl->serverEnded(); }
+
 void RelayMetrics::attemptEnded(const std::string &Service, AttemptCause Cause,
                                 AttemptResult Result, Duration Elapsed) {
   Impl->attemptEnded(Service, Cause, Result, Elapsed);
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -34,6 +34,8 @@
   void serverPaused();
   /// A backend server has named a limit, or a different one.
   void serverLimited();
+  /// A backend server has ended while it ran a request.
+  void serverEnded();
   /// All metrics in the text format of Prometheus. The gauges are set
   /// from \p Snapshot.
   std::string serialize(const RelaySnapshot &Snapshot);
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -26,6 +26,16 @@
       Self->updateTimer();
     }
   };
+  if (Context.Codec.IsSuspected)
+    Request.IsSuspected = [Weak] {
+      auto Self = Weak.lock();
+      return Self != nullptr && Self->Context.Codec.IsSuspected(Self->Call);
+    };
+  if (Context.Codec.IsBlocked)
+    Request.IsBlocked = [Weak] {
+      auto Self = Weak.lock();
+      return Self != nullptr && Self->Context.Codec.IsBlocked(Self->Call);
+    };
   RelayActions Actions;
   Request.start(LoopTimers::now(), Actions);
   perform(std::move(Actions));
@@ -102,6 +112,10 @@
                                Request.causeOf(Attempt), End.Result,
                                Now - Request.sentAt(Attempt));
   logAttemptFailure(Attempt, End, Now);
+  if (End.Result == AttemptResult::Answered && Context.Codec.OnAnswered)
+    Context.Codec.OnAnswered(Call);
+  else if (End.Result == AttemptResult::Lost && Context.Codec.OnLost)
+    Context.Codec.OnLost(Request.serverOf(Attempt), Call);
   RelayActions Actions;
   Request.onAttemptEnd(Attempt, End, Now, Actions);
   perform(std::move(Actions));
--- a/tests/relay/CrashingRequestTest.cpp
+++ b/tests/relay/CrashingRequestTest.cpp
@@ -31,13 +31,13 @@
       Sum += S.Requests;
     return Sum;
   }
-  /// Waits until requests at \p Port reach several of the servers.
+  /// Waits until the instance at \p Port has reached several of the servers.
   void awaitServers(int Port) {
+    await([&] { return ask("/a", Port) == 200; });
+    const int Before = requestsAtServers();
     await([&] {
       ask("/a", Port);
-      return std::count_if(
-                 Servers.begin(), Servers.end(),
-                 [](const PathEchoServer &S) { return S.Requests > 0; }) >= 2;
+      return requestsAtServers() >= Before + 4;
     });
   }
 
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -403,3 +403,37 @@
   W.startRequest();
   EXPECT_EQ(W.SentServers.size(), 2u);
 }
+
+TEST(RelayRequestTest, SuspectedRequestsRunAlone) {
+  RelayRequestHarness W(1, 3);
+  AttemptPermitRequest Request;
+  RouteStats Stats;
+  Request.Stats = &Stats;
+  W.startRequest();
+  const std::shared_ptr<BackendPool> Pool = W.Request->poolOf(0);
+  Request.Suspected = true;
+  const AttemptPermit Suspect = Pool->acquire(Request, false, nullptr, W.Now);
+  ASSERT_NE(Suspect.Server, nullptr);
+  EXPECT_NE(Suspect.Server, W.serverOf(0));
+  Request.Suspected = false;
+  for (int I = 0; I < 10; ++I) {
+    const AttemptPermit Other = Pool->acquire(Request, false, nullptr, W.Now);
+    ASSERT_NE(Other.Server, nullptr);
+    EXPECT_NE(Other.Server, Suspect.Server);
+  }
+}
+
+// The request becomes known to end servers while it waits and between its
+// attempts.
+TEST(RelayRequestTest, BlockedRequestIsNotSentAgain) {
+  RelayRequestHarness W(1, 3);
+  W.startRequest();
+  W.Request->IsBlocked = [] { return true; };
+  W.advance(absl::Milliseconds(500));
+  EXPECT_EQ(W.SentServers.size(), 1u);
+  W.endAttempt(0, AttemptResult::Lost);
+  W.advance(absl::Milliseconds(1));
+  EXPECT_EQ(W.SentServers.size(), 1u);
+  ASSERT_TRUE(W.answered());
+  EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Failed);
+}
