relay: lost registrations do not raise an instance's share of the extra load

Change: the base is divided by the same count as the limits of servers, in which a missing instance counts for 30 s more.

Measured: RelayRequestTest.LostRegistrationsDoNotRaiseTheExtraLoad red before (1 sharer for 5), green now.

--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -174,8 +174,11 @@
   }
 }
 
-int RelayState::budgetSharers() const {
-  return SelfIsHome ? HomeCount : NoBudgetBase;
+int RelayState::budgetSharers(TimePoint Now) const {
+  if (!SelfIsHome)
+    return NoBudgetBase;
+  return Sharing->known() ? std::max(HomeCount, Sharing->sharers(Now))
+                          : HomeCount;
 }
 
 std::vector<ServerRef>
@@ -302,7 +305,7 @@
   std::map<std::string, ServiceSnapshot> Out;
   for (const auto &[Name, S] : Services) {
     ServiceSnapshot Snapshot = S.Pool->snapshot(Now);
-    Snapshot.ExtraAttempts = S.Budget->available(budgetSharers(), Now);
+    Snapshot.ExtraAttempts = S.Budget->available(budgetSharers(Now), Now);
     Out.emplace(Name, Snapshot);
   }
   return Out;
@@ -314,7 +317,7 @@
   Plan.MatchedRoute = &MatchedRoute;
   Plan.Stats = Stats.at(MatchedRoute.Name);
   Plan.Instances = HomeCount;
-  Plan.BudgetSharers = budgetSharers();
+  Plan.BudgetSharers = budgetSharers(Arrived);
   Plan.ArrivalTime = Arrived;
   Plan.Deadline = Arrived + std::min(TimeLeft - Options.DeadlineMargin,
                                      MatchedRoute.Timeout);
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -127,7 +127,7 @@
   void rememberRestrictions(ServerRef Listed, TimePoint Now);
   void updateConnectionShares(TimePoint Now);
   /// Number of instances that share the base of the extra load.
-  int budgetSharers() const;
+  int budgetSharers(TimePoint Now) const;
 
   RelayStateOptions Options;
   int Instances;
--- a/src/core/relay/SharingInstances.cpp
+++ b/src/core/relay/SharingInstances.cpp
@@ -62,10 +62,14 @@
   return Before < Sharers;
 }
 
+int SharingInstances::sharers(TimePoint Now) const {
+  const bool Heard = Now - HeardAt < HeardHoldTime;
+  return std::max(count(Now), Heard ? HeardCount : 1);
+}
+
 LimitShare SharingInstances::shareOf(const std::string &Id, double PerSecond,
                                      TimePoint Now) const {
-  const bool Heard = Now - HeardAt < HeardHoldTime;
-  const int Count = std::max(count(Now), Heard ? HeardCount : 1);
+  const int Count = sharers(Now);
   const int Sharers = std::min(Count, maxLimitSharers(PerSecond));
   LimitShare Share;
   Share.Sharers = Sharers;
--- a/src/core/relay/SharingInstances.h
+++ b/src/core/relay/SharingInstances.h
@@ -30,6 +30,11 @@
   void onCountHeard(int Count, TimePoint Now);
   /// Instances that share, as far as this instance knows by itself.
   int count(TimePoint Now) const;
+  /// Whether update() has been called.
+  bool known() const { return Known; }
+  /// Instances among which shares are divided: count(), or that of another
+  /// instance if it is higher.
+  int sharers(TimePoint Now) const;
   /// The share that this instance has of a limit of \p PerSecond requests per
   /// second at server \p Id.
   LimitShare shareOf(const std::string &Id, double PerSecond,
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -437,3 +437,21 @@
   ASSERT_TRUE(W.answered());
   EXPECT_EQ(W.Verdict->Outcome, RelayOutcome::Failed);
 }
+
+// After an outage that dropped the registrations the first instances to read
+// the directory find themselves alone in it.
+TEST(RelayRequestTest, LostRegistrationsDoNotRaiseTheExtraLoad) {
+  RelayRequestHarness W(1, 1);
+  const std::vector<std::string> Names = {"a", "b", "c", "d", "e"};
+  W.State->sharing().update(Names, 5, W.Now);
+  W.State->setInstanceCount(5, 5, true, W.Now);
+  W.startRequest();
+  EXPECT_EQ(W.Request->plan().BudgetSharers, 5);
+  W.State->sharing().update({"a"}, 1, W.Now);
+  W.State->setInstanceCount(1, 1, true, W.Now);
+  W.startRequest();
+  EXPECT_EQ(W.Request->plan().BudgetSharers, 5);
+  W.Now += absl::Seconds(31);
+  W.startRequest();
+  EXPECT_EQ(W.Request->plan().BudgetSharers, 1);
+}
