relay: a check in progress has a Retry-After; requests in flight clear a suspicion

Found by reading: a request rejected because the last check was in progress had no Retry-After; a request that had been sent before any server ended did not clear its content when it was answered; a server that left during the check counted as ended.

--- a/src/core/relay/CrashSuspects.cpp
+++ b/src/core/relay/CrashSuspects.cpp
@@ -96,19 +96,20 @@
 
 bool CrashSuspects::blocks(const std::string &Fingerprint,
                            TimePoint Now) const {
-  const std::size_t Ends = endCount(Fingerprint);
-  if (Ends >= MaxEnds)
-    return blockLeft(Fingerprint, Now) > absl::ZeroDuration();
-  auto Check = Checks.find(Fingerprint);
-  return Ends == MaxEnds - 1 && Check != Checks.end() && Check->second > Now;
+  return blockLeft(Fingerprint, Now) > absl::ZeroDuration();
 }
 
 Duration CrashSuspects::blockLeft(const std::string &Fingerprint,
                                   TimePoint Now) const {
   auto Found = Records.find(Fingerprint);
-  if (Found == Records.end() || Found->second.Ends.size() < MaxEnds)
-    return absl::ZeroDuration();
-  return std::max(absl::ZeroDuration(), expiry(Found->second) - Now);
+  const std::size_t Ends = endCount(Fingerprint);
+  TimePoint Until = Now;
+  if (Ends >= MaxEnds)
+    Until = expiry(Found->second);
+  auto Check = Checks.find(Fingerprint);
+  if (Ends == MaxEnds - 1 && Check != Checks.end())
+    Until = Check->second;
+  return std::max(absl::ZeroDuration(), Until - Now);
 }
 
 std::size_t CrashSuspects::endCount(const std::string &Fingerprint) const {
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -132,15 +132,6 @@
     if (Head.result() != boost::beast::http::status::misdirected_request)
       onLimitNamed(Server, namedLimit(Head, Environment.Headers));
   };
-  BackendCodec.OnAnswered = [this](const ForwardedRequest &Call) {
-    if (!Call.Fingerprint.empty() &&
-        Suspects.onServed(Call.Fingerprint, LoopTimers::now())) {
-      logEvent(
-          LogLevel::Info, "suspect_cleared",
-          {{"request", Call.RequestId}, {"fingerprint", Call.Fingerprint}});
-      Crashes.push(State.homes(), LinkSecret);
-    }
-  };
   BackendCodec.OnLost = [this](const ServerRef &Server,
                                const ForwardedRequest &Call) {
     onAttemptLost(Server, Call);
@@ -149,6 +140,14 @@
     return Call.Fingerprint.empty() ? requestFingerprint(Call)
                                     : Call.Fingerprint;
   };
+  BackendCodec.OnAnswered = [this, Fingerprint](const ForwardedRequest &Call) {
+    if (Suspects.empty() ||
+        !Suspects.onServed(Fingerprint(Call), LoopTimers::now()))
+      return;
+    logEvent(LogLevel::Info, "suspect_cleared",
+             {{"request", Call.RequestId}, {"fingerprint", Fingerprint(Call)}});
+    Crashes.push(State.homes(), LinkSecret);
+  };
   BackendCodec.IsBlocked = [this, Fingerprint](const ForwardedRequest &Call) {
     return !Suspects.empty() &&
            Suspects.blocks(Fingerprint(Call), LoopTimers::now());
@@ -650,7 +649,7 @@
   Backends.checkAlive(
       Server, [this, Server, Fingerprint, Id = Call.RequestId](bool Alive) {
         Suspects.endCheck(Fingerprint);
-        if (!Alive)
+        if (!Alive && Server->AcceptsAttempts)
           onServerEnded(Server, Fingerprint, Id);
       });
 }
