relay: an acknowledgement that has arrived is read before a home is left

One cause: an instance whose loop was occupied came to its timer first and left the home, whose acknowledgement was waiting in the socket.

Change: the timer of a forwarded request fires after what the sockets have received is handled.

Measured: LateAcknowledgementTest red 3 of 3 before, green 3 of 3.

--- a/src/relay/LoopTimers.cpp
+++ b/src/relay/LoopTimers.cpp
@@ -1,6 +1,7 @@
 #include "relay/LoopTimers.h"
 #include "absl/time/clock.h"
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <chrono>
 
 namespace quetzallead {
@@ -87,4 +88,23 @@
   return NewSubscription;
 }
 
+/// Runs of the handler queue until what a poll has found is handled: the poll
+/// comes after the first, its handlers come before the third.
+static constexpr int RunsToHandlePoll = 3;
+
+static void postRepeatedly(const asio::steady_timer::executor_type &Loop,
+                           int Times, LoopTimers::Callback Fn) {
+  asio::post(Loop, [Loop, Times, Fn = std::move(Fn)]() mutable {
+    if (Times == 1)
+      Fn(LoopTimers::now());
+    else
+      postRepeatedly(Loop, Times - 1, std::move(Fn));
+  });
+}
+
+void LoopTimers::afterReceived(Callback Fn) {
+  postRepeatedly(Shared->SystemTimer.get_executor(), RunsToHandlePoll,
+                 std::move(Fn));
+}
+
 } // namespace quetzallead
--- a/src/relay/LoopTimers.h
+++ b/src/relay/LoopTimers.h
@@ -26,6 +26,9 @@
   static TimePoint now();
   /// Calls \p Fn once at \p When, unless the subscription is destroyed before.
   std::shared_ptr<Subscription> at(TimePoint When, Callback Fn);
+  /// Calls \p Fn once the loop has handled all that sockets have received by
+  /// now.
+  void afterReceived(Callback Fn);
 
 private:
   struct State;
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -169,7 +169,7 @@
   if (Due == absl::InfiniteFuture())
     return;
   std::weak_ptr<RelaySession> Weak = shared_from_this();
-  Timer = Context.Timers.at(Due, [Weak](TimePoint Now) {
+  auto Fire = [Weak](TimePoint Now) {
     auto Self = Weak.lock();
     if (Self == nullptr)
       return;
@@ -178,6 +178,16 @@
     Self->Request.onTimer(Now, Actions);
     Self->perform(std::move(Actions));
     Self->updateTimer();
+  };
+  if (!Context.Codec.Acknowledged) {
+    Timer = Context.Timers.at(Due, Fire);
+    return;
+  }
+  // A loop that was occupied may have an acknowledgement to read: a home that
+  // has sent it in time must not be left.
+  Timer = Context.Timers.at(Due, [Weak, Fire](TimePoint) {
+    if (auto Self = Weak.lock())
+      Self->Context.Timers.afterReceived(Fire);
   });
 }
 
