--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -480,7 +480,7 @@
   if (FetchingSheet || Homes.empty() || LinkSecret.empty())
     return;
   FetchingSheet = true;
-  const ServerRef Asked = Homes[SheetFetches % Homes.size()];
+  const ServerRef &Asked = Homes[SheetFetches % Homes.size()];
   ForwardedRequest Call;
   Call.Method = "GET";
   Call.Target = LinkSheetTarget;
