relay: a request under which a server has ended is not hedged

Change: suspected requests get no hedge. Measured: RelayRequestTest.SuspectedRequestIsNotHedged, which the code before fails: it sends a second attempt.

--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -176,7 +176,7 @@
   Request.ObjectiveDeadline = Plan.ObjectiveDeadline;
   Request.LatestStart = latestStart();
   Request.Excluded = P.TriedServers;
-  Request.Suspected = IsSuspected && IsSuspected();
+  Request.Suspected = suspected();
   return Request;
 }
 
@@ -353,7 +353,8 @@
 void RelayRequest::hedge(std::size_t Index, TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   RelayTarget &T = Plan.Targets[Index];
-  if (blocked()) {
+  // A hedge of a request that ends servers would end a second one at once.
+  if (blocked() || suspected()) {
     P.HedgeAt = absl::InfiniteFuture();
     return;
   }
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -166,6 +166,7 @@
   std::size_t neededParts() const;
   void updateNextTimer();
   bool blocked() const { return IsBlocked && IsBlocked(); }
+  bool suspected() const { return IsSuspected && IsSuspected(); }
   bool isIdempotent() const {
     return Plan.MatchedRoute->Kind == RequestKind::Idempotent;
   }
--- a/tests/relay/RelayRequestTest.cpp
+++ b/tests/relay/RelayRequestTest.cpp
@@ -455,3 +455,13 @@
   W.startRequest();
   EXPECT_EQ(W.Request->plan().BudgetSharers, 1);
 }
+
+// Both servers would end before the first end blocks the request.
+TEST(RelayRequestTest, SuspectedRequestIsNotHedged) {
+  RelayRequestHarness W(1, 3);
+  W.startRequest();
+  W.Request->IsSuspected = [] { return true; };
+  W.advance(absl::Milliseconds(500));
+  EXPECT_EQ(W.SentServers.size(), 1u);
+  EXPECT_FALSE(W.answered());
+}
