relay: the attempts that a home may send are given to it with the request

Cause: a home counted all attempts of a route for itself. No timer can exclude it, since neither side knows what of its messages has arrived.

Change: the asking instance holds back the last attempt of each part. A second home gets it, or the first, which claims it when a hedge or a retry needs it: an informational response with a signed link header, answered by a signed message on the same connection. Once granted, the request goes to no other home; a claim of a home that was left is not granted.

Ruled out: the extra-load budget, which a second home pays in full already.

--- a/src/core/relay/RelayActions.h
+++ b/src/core/relay/RelayActions.h
@@ -31,8 +31,16 @@
   RelayResult Result;
 };
 
-using RelayAction =
-    std::variant<SendRelayAttempt, CancelRelayAttempt, RespondToCaller>;
+/// Ask the instance that holds back an attempt of each part for them.
+struct ClaimAttempts {};
+
+/// Give the attempts that were held back to the home of attempt \p Attempt.
+struct GrantAttempts {
+  std::size_t Attempt = 0;
+};
+
+using RelayAction = std::variant<SendRelayAttempt, CancelRelayAttempt,
+                                 RespondToCaller, ClaimAttempts, GrantAttempts>;
 using RelayActions = std::vector<RelayAction>;
 
 } // namespace quetzallead
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -81,6 +81,58 @@
   updateNextTimer();
 }
 
+bool RelayRequest::holdsBack(std::size_t Id) const {
+  return isForwarded() && isIdempotent() && maxAttempts() > 1 && !mayRepeat(Id);
+}
+
+void RelayRequest::onClaimed(std::size_t Id, RelayActions &Out) {
+  Attempt &A = Attempts[Id];
+  // Another home that has got the request has got the attempts with it.
+  if (!A.InFlight || Answered || Id + 1 != Attempts.size() || mayRepeat(Id))
+    return;
+  A.Granted = true;
+  Parts[A.Part].HedgeAt = absl::InfiniteFuture();
+  updateNextTimer();
+  Out.push_back(GrantAttempts{Id});
+}
+
+bool RelayRequest::grantedAway() const {
+  return std::any_of(Attempts.begin(), Attempts.end(), [](const Attempt &A) {
+    return A.Granted && !A.NotExecuted;
+  });
+}
+
+bool RelayRequest::isHeldBack(const Part &P) const {
+  return Plan.LastAttemptHeldBack && !Granted && P.Sent > 0 &&
+         P.Sent + 1 >= maxAttempts();
+}
+
+void RelayRequest::claim(std::size_t Index, RelayActions &Out) {
+  Part &P = Parts[Index];
+  P.AwaitsGrant = true;
+  P.HedgeAt = absl::InfiniteFuture();
+  P.RetryAt = absl::InfiniteFuture();
+  if (Claimed)
+    return;
+  Claimed = true;
+  Out.push_back(ClaimAttempts{});
+}
+
+void RelayRequest::onGranted(TimePoint Now, RelayActions &Out) {
+  if (!Claimed || Granted || Answered)
+    return;
+  Granted = true;
+  for (Part &P : Parts) {
+    if (!P.AwaitsGrant || P.State != PartState::Open)
+      continue;
+    if (P.InFlight == 0 && P.WaitId == 0)
+      P.RetryAt = Now;
+    else
+      P.HedgeAt = Now;
+  }
+  onTimer(Now, Out);
+}
+
 void RelayRequest::abandonSilentHomes(std::size_t Index, TimePoint Now,
                                       RelayActions &Out) {
   for (std::size_t I = 0; I < Attempts.size(); ++I) {
@@ -312,7 +364,7 @@
 
 void RelayRequest::retryOrFail(std::size_t Index, TimePoint Now) {
   Part &P = Parts[Index];
-  if (P.Sent >= maxAttempts()) {
+  if (P.Sent >= maxAttempts() || grantedAway()) {
     failPart(Index);
     return;
   }
@@ -330,6 +382,10 @@
   // An attempt that was never sent reached no server, so its repeat counts as
   // the first attempt.
   const bool First = P.Sent == 0;
+  if (isHeldBack(P)) {
+    claim(Index, Out);
+    return;
+  }
   if (!First && !T.Budget->spend(0, Plan.BudgetSharers, Now)) {
     P.RetryAt = Now + ExtraAttemptRecheckDelay;
     return;
@@ -369,6 +425,10 @@
     P.HedgeAt = Now + ExtraAttemptRecheckDelay;
     return;
   }
+  if (isHeldBack(P)) {
+    claim(Index, Out);
+    return;
+  }
   if (!T.Budget->spend(FewPartsOpen ? HedgeBudgetReserve
                                     : EarlyHedgeBudgetReserve,
                        Plan.BudgetSharers, Now)) {
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -46,6 +46,9 @@
   /// Another home may already have sent the request to backend servers: each
   /// attempt is an extra one, and each part gets one at most.
   bool Repeated = false;
+  /// The asking instance holds back the last attempt of each part, for another
+  /// home, until this one claims them.
+  bool LastAttemptHeldBack = false;
 };
 
 /// State machine of one caller request: decides which server receives each
@@ -56,6 +59,12 @@
 /// hedges and retries, which are paid for from a shared budget. If shards are
 /// down, a survey is answered at the objective with the parts that have
 /// arrived, and ends at once when its least coverage can no longer be reached.
+///
+/// A route's maximum number of attempts holds over all homes that have the
+/// request, whatever becomes of their messages: an asking instance holds back
+/// the last attempt of each part. A second home gets these, or the first, which
+/// claims them when it needs one; once they are granted, no other home gets the
+/// request.
 /// Takes events and returns actions, and does no I/O. Not thread-safe.
 class RelayRequest {
 public:
@@ -79,6 +88,11 @@
   /// Handles the message of a home that it has read the request of attempt
   /// \p Id. A home that does not send it soon counts as silent.
   void onAcknowledged(std::size_t Id);
+  /// Handles the claim of the home of attempt \p Id to the attempts that are
+  /// held back.
+  void onClaimed(std::size_t Id, RelayActions &Out);
+  /// Handles the grant of the attempts that were claimed.
+  void onGranted(TimePoint Now, RelayActions &Out);
   void onTimer(TimePoint Now, RelayActions &Out);
   /// Handles a disconnect of the caller: leaves the queues and, if the request
   /// is idempotent, cancels the attempts in flight.
@@ -102,6 +116,9 @@
   bool passedBack() const;
   /// Whether an attempt before \p Id may have been executed or still may be.
   bool mayRepeat(std::size_t Id) const;
+  /// Whether the home of attempt \p Id has to claim the last attempt of each
+  /// part.
+  bool holdsBack(std::size_t Id) const;
   TimePoint sentAt(std::size_t Id) const { return Attempts[Id].Sent; }
   /// Number of parts whose last due hedge was withheld because of \p Obstacle.
   std::size_t hedgesWithheld(HedgeWithheldReason Obstacle) const;
@@ -118,6 +135,8 @@
     PartState State = PartState::Open;
     int Sent = 0;
     int InFlight = 0;
+    /// The next attempt waits for the grant.
+    bool AwaitsGrant = false;
     std::uint64_t WaitId = 0;
     std::vector<ServerRef> TriedServers;
     TimePoint HedgeAt = absl::InfiniteFuture();
@@ -138,6 +157,8 @@
     bool Acknowledged = false;
     /// The server has not executed it and never will.
     bool NotExecuted = false;
+    /// The home may send the attempts that were held back.
+    bool Granted = false;
   };
 
   AttemptPermitRequest permitRequest(const Part &P) const;
@@ -149,6 +170,12 @@
   void hedge(std::size_t Index, TimePoint Now, RelayActions &Out);
   void retry(std::size_t Index, TimePoint Now, RelayActions &Out);
   void retryOrFail(std::size_t Index, TimePoint Now);
+  /// Whether the next attempt of \p P is held back by the asking instance.
+  bool isHeldBack(const Part &P) const;
+  void claim(std::size_t Index, RelayActions &Out);
+  /// Whether a home that may have executed the request has got the attempts
+  /// that were held back.
+  bool grantedAway() const;
   void failPart(std::size_t Index);
   bool acceptResponse(std::size_t Index, const AttemptEnd &End);
   void leaveQueue(std::size_t Index);
@@ -170,7 +197,7 @@
   bool isIdempotent() const {
     return Plan.MatchedRoute->Kind == RequestKind::Idempotent;
   }
-  /// Maximum number of attempts for each part.
+  /// Maximum number of attempts for each part, including one that is held back.
   int maxAttempts() const {
     return Plan.Repeated ? 1 : Plan.MatchedRoute->MaxAttempts;
   }
@@ -198,6 +225,9 @@
   std::size_t AnsweredParts = 0;
   std::size_t FailedParts = 0;
   bool Answered = false;
+  bool Claimed = false;
+  /// The attempts that were claimed may be sent.
+  bool Granted = false;
   TimePoint NextTimer = absl::InfiniteFuture();
 };
 
--- a/src/relay/AttemptCodec.h
+++ b/src/relay/AttemptCodec.h
@@ -19,6 +19,8 @@
   bool MayRepeat = false;
   /// An earlier attempt was passed back.
   bool PassedBack = false;
+  /// RelayRequest::holdsBack().
+  bool LastAttemptHeldBack = false;
 };
 
 /// Translates between attempts and their bytes; differs between backend servers
@@ -47,6 +49,12 @@
   std::function<bool(const ForwardedRequest &)> IsSuspected;
   /// The peer acknowledges a request that it has read.
   bool Acknowledged = false;
+  /// Whether an informational response claims the attempts that are held back;
+  /// it acknowledges the request otherwise. May be empty.
+  std::function<bool(const ForwardedRequest &, const HttpResponseHead &)>
+      IsClaim;
+  /// Encodes the message that grants a claim; empty if IsClaim is.
+  std::function<std::string(const ForwardedRequest &)> EncodeGrant;
 };
 
 } // namespace quetzallead
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -61,6 +61,8 @@
         Self->Unparsed.append(Self->Buffer.data(), Count);
         if (Self->Stage == SessionStage::Reading)
           Self->parse();
+        else if (Self->Handlers.OnMessage)
+          Self->parseMessage();
         if (Self->Stage == SessionStage::Closed)
           return;
         // Stops reading from a caller that keeps sending while it is served.
@@ -140,6 +142,19 @@
   Handlers.OnRequest(shared_from_this(), std::move(Request));
 }
 
+void CallerSession::parseMessage() {
+  Parser MessageParser;
+  MessageParser.eager(true);
+  MessageParser.header_limit(
+      static_cast<std::uint32_t>(Handlers.Limits().MaxHeaderBytes));
+  error_code Fault;
+  const std::size_t Consumed = MessageParser.put(asio::buffer(Unparsed), Fault);
+  // Anything else is a pipelined request, which is parsed in its turn.
+  if (!Fault && MessageParser.is_done() &&
+      Handlers.OnMessage(*this, MessageParser.release()))
+    Unparsed.erase(0, Consumed);
+}
+
 void CallerSession::reject(unsigned Status) {
   Stage = SessionStage::Serving;
   RequestParser.reset();
@@ -182,6 +197,15 @@
     linger();
     return;
   }
+  readNext();
+}
+
+void CallerSession::skipResponse() {
+  if (Stage == SessionStage::Serving)
+    readNext();
+}
+
+void CallerSession::readNext() {
   Stage = SessionStage::Reading;
   startTimer(Handlers.Limits().IdleTimeout, 0);
   if (ReadPaused) {
@@ -211,14 +235,19 @@
 }
 
 void CallerSession::acknowledge() {
-  static const std::string Processing = "HTTP/1.1 102 Processing\r\n\r\n";
+  sendInformational("HTTP/1.1 102 Processing\r\n\r\n");
+}
+
+void CallerSession::sendInformational(absl::string_view Bytes) {
+  if (Stage != SessionStage::Serving)
+    return;
   error_code IgnoredEC;
   Socket.non_blocking(true, IgnoredEC);
   // The few bytes fit into the socket buffer. If they do not, the peer does not
   // read, and the response fails in its turn.
   const std::size_t Sent =
-      Socket.write_some(asio::buffer(Processing), IgnoredEC);
-  if (Sent != 0 && Sent != Processing.size())
+      Socket.write_some(asio::buffer(Bytes.data(), Bytes.size()), IgnoredEC);
+  if (Sent != 0 && Sent != Bytes.size())
     close();
 }
 
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -29,6 +29,9 @@
   std::function<ClientLimits()> Limits;
   /// True if connections are to be closed after their next response.
   std::function<bool()> ShouldClose;
+  /// Handles a request that arrives while another is served, if it is a message
+  /// that has no response; returns whether it is. May be empty.
+  std::function<bool(CallerSession &, HttpRequest)> OnMessage;
 };
 
 /// A connection from a caller: reads requests and writes their responses in the
@@ -63,6 +66,10 @@
   /// Tells the peer that the request being served has been read and will be
   /// answered.
   void acknowledge();
+  /// Sends a short informational (1xx) response to the request being served.
+  void sendInformational(absl::string_view Bytes);
+  /// Goes on to the next request: the one being served has no response.
+  void skipResponse();
   /// Whether the peer has closed the connection, as far as can be read.
   bool closedByPeer();
   bool idle() const {
@@ -77,6 +84,10 @@
   void read();
   void onReadEnd();
   void parse();
+  /// Hands the unparsed message, if it is complete, to OnMessage.
+  void parseMessage();
+  /// Reads the next request.
+  void readNext();
   void reject(unsigned Status);
   void onWritten();
   void linger();
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -192,9 +192,10 @@
   if (http::to_status_class(ResponseParser->get().result()) ==
       http::status_class::informational) {
     // The final response follows.
+    const HttpResponseHead Head = ResponseParser->get().base();
     resetParser();
     if (Current.OnInformational)
-      Current.OnInformational();
+      Current.OnInformational(Head);
     if (Stage != ConnectionStage::Open || Done == nullptr)
       return;
     if (!Unparsed.empty()) {
@@ -280,6 +281,21 @@
     Closed(WasConnected);
 }
 
+void HttpConnection::sendMessage(absl::string_view Bytes) {
+  if (Stage != ConnectionStage::Open || Done == nullptr)
+    return;
+  // The few bytes fit into the socket buffer. If they do not, the peer does not
+  // read, and the rest of them must not follow later.
+  error_code Fault;
+  const std::size_t Sent =
+      Writing
+          ? 0
+          : Socket.write_some(asio::buffer(Bytes.data(), Bytes.size()), Fault);
+  if (Sent != Bytes.size())
+    asio::post(
+        Loop, [Self = shared_from_this()] { Self->fail(AttemptResult::Lost); });
+}
+
 void HttpConnection::close() { fail(AttemptResult::Cancelled); }
 
 } // namespace quetzallead
--- a/src/relay/HttpConnection.h
+++ b/src/relay/HttpConnection.h
@@ -40,6 +40,9 @@
   /// Sends a request, connecting first if necessary. No other exchange may be
   /// in progress.
   void exchange(HttpExchange Request, HttpExchangeCallback Done);
+  /// Sends a message that has no response of its own, while an exchange is in
+  /// progress. Closes the connection if it cannot be sent at once.
+  void sendMessage(absl::string_view Bytes);
   /// Closes the connection; an exchange in progress ends as Cancelled.
   void close();
 
--- a/src/relay/HttpExchange.h
+++ b/src/relay/HttpExchange.h
@@ -25,8 +25,8 @@
   /// EchoValue belongs to another request. Not checked if empty.
   std::string EchoHeader;
   std::string EchoValue;
-  /// Called for each informational (1xx) response; may be empty.
-  std::function<void()> OnInformational;
+  /// Called with the head of each informational (1xx) response; may be empty.
+  std::function<void(const HttpResponseHead &)> OnInformational;
   /// Called with the head of the final response before its body is complete;
   /// may be empty. Must not close the connection.
   std::function<void(const HttpResponseHead &)> OnHead;
--- a/src/relay/LinkMessages.cpp
+++ b/src/relay/LinkMessages.cpp
@@ -74,6 +74,8 @@
                    ";transit_us=", absl::ToInt64Microseconds(Info.TransitTime),
                    ";sheet=", Info.SheetVersion,
                    ";repeated=", static_cast<int>(Info.Repeated),
+                   ";held_back=", static_cast<int>(Info.LastAttemptHeldBack),
+                   ";grant=", static_cast<int>(Info.GrantsAttempts),
                    ";passed_back=", static_cast<int>(Info.PassedBack),
                    ";wants_sheet=", static_cast<int>(Info.WantsSheet),
                    ";crashes=", static_cast<int>(Info.ExchangesCrashes));
@@ -113,12 +115,46 @@
   Out.TransitTime = absl::Microseconds(Number("transit_us"));
   Out.SheetVersion = Number("sheet");
   Out.Repeated = Number("repeated") != 0;
+  Out.LastAttemptHeldBack = Number("held_back") != 0;
+  Out.GrantsAttempts = Number("grant") != 0;
   Out.PassedBack = Number("passed_back") != 0;
   Out.WantsSheet = Number("wants_sheet") != 0;
   Out.ExchangesCrashes = Number("crashes") != 0;
   return Out;
 }
 
+/// The fields of the link header of a claim.
+static constexpr char ClaimFields[] = "claim=1";
+
+std::string encodeAttemptClaim(const std::string &RequestId,
+                               const std::string &Secret) {
+  return absl::StrCat(
+      "HTTP/1.1 102 Processing\r\n", LinkHeader, ": ", ClaimFields,
+      ";mac=", sign(Secret, {ClaimFields, RequestId}), "\r\n\r\n");
+}
+
+bool isAttemptClaim(const HttpResponseHead &Head, const std::string &RequestId,
+                    const std::string &Secret) {
+  const auto Fields = parseFields(view(Head[LinkHeader]));
+  return Fields && !Secret.empty() && Fields->Signed == ClaimFields &&
+         equalInConstantTime(sign(Secret, {Fields->Signed, RequestId}),
+                             Fields->Code);
+}
+
+std::string encodeAttemptGrant(const ForwardedRequest &Call,
+                               const HeaderNames &Names,
+                               const std::string &Secret) {
+  ForwardedRequest Message;
+  Message.Method = "POST";
+  Message.Target = LinkAttemptsTarget;
+  Message.Host = Call.Host;
+  Message.RequestId = Call.RequestId;
+  Message.Headers = absl::StrCat(Names.RequestId, ": ", Call.RequestId, "\r\n");
+  LinkRequestInfo Info;
+  Info.GrantsAttempts = true;
+  return encodeLinkRequest(Message, Names, Info, absl::ZeroDuration(), Secret);
+}
+
 /// Separates the status line of an encoded response from its header fields.
 static constexpr char LineEnd[] = "\r\n";
 
--- a/src/relay/LinkMessages.h
+++ b/src/relay/LinkMessages.h
@@ -15,6 +15,9 @@
 /// Target of the request for the sheet.
 inline constexpr char LinkSheetTarget[] = "/quetzallead/sheet";
 
+/// Target of the message that grants attempts.
+inline constexpr char LinkAttemptsTarget[] = "/quetzallead/attempts";
+
 /// What an instance tells a home about a request, besides the request.
 struct LinkRequestInfo {
   /// Time since the caller's request arrived.
@@ -26,6 +29,8 @@
   std::uint64_t SheetVersion = 0;
   /// Another home may already have sent the request to backend servers.
   bool Repeated = false;
+  /// The home has to claim the last attempt of each part.
+  bool LastAttemptHeldBack = false;
   /// Another home has passed the request back: this one serves it even if it
   /// has lost the store.
   bool PassedBack = false;
@@ -33,6 +38,9 @@
   bool WantsSheet = false;
   /// The body holds crash reports, and the response will.
   bool ExchangesCrashes = false;
+  /// Not a request: a message that grants the home what it has claimed. It has
+  /// no response.
+  bool GrantsAttempts = false;
 };
 
 /// What a home tells the asking instance about a response.
@@ -70,6 +78,21 @@
                           const LinkResponseInfo &Info,
                           const std::string &Secret);
 
+/// Encodes an informational response by which a home claims the attempts of the
+/// request \p RequestId that are held back.
+std::string encodeAttemptClaim(const std::string &RequestId,
+                               const std::string &Secret);
+
+/// Whether \p Head is encodeAttemptClaim() for \p RequestId, signed with
+/// \p Secret.
+bool isAttemptClaim(const HttpResponseHead &Head, const std::string &RequestId,
+                    const std::string &Secret);
+
+/// Encodes the message that grants the attempts of \p Call that were claimed.
+std::string encodeAttemptGrant(const ForwardedRequest &Call,
+                               const HeaderNames &Names,
+                               const std::string &Secret);
+
 /// Encodes a response with \p Body to a request of another instance. The
 /// response to a request for the sheet is empty if the asking instance has the
 /// newest one.
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -170,9 +170,17 @@
     Info.SheetVersion = NewestSheetVersion;
     Info.Repeated = Attempt.MayRepeat;
     Info.PassedBack = Attempt.PassedBack;
+    Info.LastAttemptHeldBack = Attempt.LastAttemptHeldBack;
     return encodeLinkRequest(Call, Environment.Headers, Info, Attempt.TimeLeft,
                              LinkSecret);
   };
+  LinkCodec.IsClaim = [this](const ForwardedRequest &Call,
+                             const HttpResponseHead &Head) {
+    return isAttemptClaim(Head, Call.RequestId, LinkSecret);
+  };
+  LinkCodec.EncodeGrant = [this](const ForwardedRequest &Call) {
+    return encodeAttemptGrant(Call, Environment.Headers, LinkSecret);
+  };
   LinkCodec.Decode = [this](const ForwardedRequest &Call,
                             const HttpExchangeResult &End) {
     if (End.Result != AttemptResult::Answered)
@@ -224,6 +232,9 @@
                                   HttpRequest Request) {
     onLinkRequest(Asker, std::move(Request));
   };
+  LinkHandlers.OnMessage = [this](CallerSession &Asker, HttpRequest Message) {
+    return onLinkMessage(Asker, Message);
+  };
   LinkHandlers.OnClosed = [](CallerSession &) {};
   LinkHandlers.Limits = [] {
     ClientLimits Limits;
@@ -859,6 +870,11 @@
                    false);
     return;
   }
+  if (Info->GrantsAttempts) {
+    // The request has been answered before the grant arrived.
+    Asker->skipResponse();
+    return;
+  }
   ForwardedRequest Call =
       decodeRequest(Request, Environment.Headers, Now - Info->Age);
   Call.TransitTime = Info->TransitTime + Asker->transitTime();
@@ -875,6 +891,20 @@
   });
 }
 
+bool RelayDaemon::onLinkMessage(CallerSession &Asker,
+                                const HttpRequest &Message) {
+  const std::optional<LinkRequestInfo> Info =
+      decodeLinkRequest(Message, Environment.Headers, LinkSecret);
+  if (!Info || !Info->GrantsAttempts)
+    return false;
+  auto Found = ActiveRequests.find(&Asker);
+  if (Found != ActiveRequests.end() &&
+      Found->second->call().RequestId == Message[Environment.Headers.RequestId])
+    // The request may end while it is handled.
+    std::shared_ptr<RelaySession>(Found->second)->onGranted();
+  return true;
+}
+
 void RelayDaemon::serveLinkRequest(const std::shared_ptr<CallerSession> &Asker,
                                    ForwardedRequest Call,
                                    const LinkRequestInfo &Info) {
@@ -961,6 +991,7 @@
       *MatchedRoute, Call.ArrivalTime,
       Call.RemainingTime.value_or(MatchedRoute->Timeout), Call.TransitTime);
   Plan.Repeated = Info.Repeated;
+  Plan.LastAttemptHeldBack = Info.LastAttemptHeldBack;
   startSession(Caller,
                RelaySessionContext{Backends, Timers, Metrics, BackendCodec,
                                    Environment.Headers.RequestId},
@@ -999,6 +1030,10 @@
         }
         onResult(*Open, *Finished, Verdict);
       });
+  Session->OnClaim = [this, WeakCaller, Id = Session->call().RequestId] {
+    if (auto Asker = WeakCaller.lock())
+      Asker->sendInformational(encodeAttemptClaim(Id, LinkSecret));
+  };
   ActiveRequests[CallerKey] = Session;
   Session->start();
 }
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -89,6 +89,9 @@
   /// Handles a request of another instance, for which this one is a home.
   void onLinkRequest(const std::shared_ptr<CallerSession> &Asker,
                      HttpRequest Request);
+  /// Handles a message that arrives while a request of \p Asker is served;
+  /// returns false if it is none.
+  bool onLinkMessage(CallerSession &Asker, const HttpRequest &Message);
   void serveLinkRequest(const std::shared_ptr<CallerSession> &Asker,
                         ForwardedRequest Call, const LinkRequestInfo &Info);
   /// Tells the asking instance that this one has not run the request.
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -51,6 +51,24 @@
   updateTimer();
 }
 
+void RelaySession::onGranted() {
+  RelayActions Actions;
+  Request.onGranted(LoopTimers::now(), Actions);
+  perform(std::move(Actions));
+  updateTimer();
+}
+
+void RelaySession::onInformational(std::size_t Attempt,
+                                   const HttpResponseHead &Head) {
+  RelayActions Actions;
+  if (Context.Codec.IsClaim && Context.Codec.IsClaim(Call, Head))
+    Request.onClaimed(Attempt, Actions);
+  else
+    Request.onAcknowledged(Attempt);
+  perform(std::move(Actions));
+  updateTimer();
+}
+
 void RelaySession::perform(RelayActions Actions) {
   auto KeepAlive = shared_from_this();
   for (RelayAction &Action : Actions) {
@@ -59,6 +77,12 @@
     } else if (auto *Cancel = std::get_if<CancelRelayAttempt>(&Action)) {
       if (auto Connection = Connections[Cancel->Attempt])
         Connection->close();
+    } else if (auto *Grant = std::get_if<GrantAttempts>(&Action)) {
+      if (auto Connection = Connections[Grant->Attempt])
+        Connection->sendMessage(Context.Codec.EncodeGrant(Call));
+    } else if (std::holds_alternative<ClaimAttempts>(Action)) {
+      if (OnClaim)
+        OnClaim();
     } else if (auto *Answer = std::get_if<RespondToCaller>(&Action)) {
       if (OnDone) {
         Completion Done = std::move(OnDone);
@@ -74,7 +98,8 @@
   Exchange.Bytes = Context.Codec.Encode(
       Call,
       AttemptToEncode{*Action.Server, Action.TimeLeft,
-                      Request.mayRepeat(Action.Attempt), Request.passedBack()});
+                      Request.mayRepeat(Action.Attempt), Request.passedBack(),
+                      Request.holdsBack(Action.Attempt)});
   Exchange.HeadRequest = Call.Method == "HEAD";
   Exchange.Deadline = LoopTimers::now() + Action.TimeLeft + AttemptGracePeriod;
   Exchange.EchoHeader = Context.EchoHeader;
@@ -85,11 +110,10 @@
     logAdditionalAttempt(Action, LoopTimers::now());
   auto Self = shared_from_this();
   if (Context.Codec.Acknowledged)
-    Exchange.OnInformational = [Weak = weak_from_this(), Attempt] {
-      if (auto Session = Weak.lock()) {
-        Session->Request.onAcknowledged(Attempt);
-        Session->updateTimer();
-      }
+    Exchange.OnInformational = [Weak = weak_from_this(),
+                                Attempt](const HttpResponseHead &Head) {
+      if (auto Session = Weak.lock())
+        Session->onInformational(Attempt, Head);
     };
   if (Context.Codec.OnHead)
     Exchange.OnHead = [&Codec = Context.Codec,
--- a/src/relay/RelaySession.h
+++ b/src/relay/RelaySession.h
@@ -28,6 +28,11 @@
   void start();
   /// Cancels the request, since its caller has disconnected.
   void onCallerDisconnected();
+  /// The asking instance has granted the attempts that it held back.
+  void onGranted();
+  /// Called when the request needs an attempt that the asking instance holds
+  /// back; may be empty.
+  std::function<void()> OnClaim;
   const ForwardedRequest &call() const { return Call; }
   const RelayRequest &request() const { return Request; }
   /// Version of the sheet in force when the request arrived; 0 if there was
@@ -39,6 +44,7 @@
 private:
   void perform(RelayActions Actions);
   void send(const SendRelayAttempt &Action);
+  void onInformational(std::size_t Attempt, const HttpResponseHead &Head);
   void onAttemptEnd(std::size_t Attempt, const HttpExchangeResult &End);
   /// Logs an attempt beyond the first: a hedge or a retry.
   void logAdditionalAttempt(const SendRelayAttempt &Action,
--- a/tests/relay/AttemptLimitTest.cpp
+++ b/tests/relay/AttemptLimitTest.cpp
@@ -78,6 +78,7 @@
   /// Servers that have got the request, for each shard.
   std::map<std::string, int> Sent;
   bool Answered = false;
+  int Grants = 0;
 
 private:
   struct Home {
@@ -142,6 +143,8 @@
         sendToHome(*Send);
       else if (auto *Cancel = std::get_if<CancelRelayAttempt>(&Action))
         cancel(Cancel->Attempt);
+      else if (auto *Grant = std::get_if<GrantAttempts>(&Action))
+        grant(Grant->Attempt);
       else
         Answered = true;
     }
@@ -155,13 +158,16 @@
     HomeOf[Attempt] = I;
     Open[Attempt] = true;
     const bool Repeated = Request->mayRepeat(Attempt);
-    toHome(I, [this, I, Attempt, Repeated] { serve(I, Attempt, Repeated); });
+    const bool HeldBack = Request->holdsBack(Attempt);
+    toHome(I, [this, I, Attempt, Repeated, HeldBack] {
+      serve(I, Attempt, Repeated, HeldBack);
+    });
     if (Homes[I].EndsAt != absl::InfiniteFuture())
       at(std::max(Now, Homes[I].EndsAt) + randomTime(MessageTime),
          [this, Attempt] { endAttempt(Attempt, AttemptResult::Lost); });
   }
 
-  void serve(int I, std::size_t Attempt, bool Repeated) {
+  void serve(int I, std::size_t Attempt, bool Repeated, bool HeldBack) {
     Home &H = Homes[I];
     if (H.Left)
       return;
@@ -175,6 +181,7 @@
         H.World->State->plan(H.World->State->table()->sheet().Routes[0], Now,
                              absl::Seconds(1), absl::ZeroDuration());
     Plan.Repeated = Repeated;
+    Plan.LastAttemptHeldBack = HeldBack;
     H.Attempt = Attempt;
     H.Request = std::make_unique<RelayRequest>(std::move(Plan));
     H.Request->OnDequeued = [this, I](const RelayActions &Actions) {
@@ -183,6 +190,17 @@
     atHome(I, [&](RelayActions &Out) { H.Request->start(Now, Out); });
   }
 
+  void grant(std::size_t Attempt) {
+    const int I = HomeOf[Attempt];
+    ++Grants;
+    toHome(I, [this, I] {
+      if (Homes[I].Request != nullptr)
+        atHome(I, [&](RelayActions &Out) {
+          Homes[I].Request->onGranted(Now, Out);
+        });
+    });
+  }
+
   template <typename Fn> void atHome(int I, Fn Deliver) {
     if (Now >= Homes[I].EndsAt) {
       Homes[I].Request = nullptr;
@@ -200,6 +218,12 @@
         ++Sent[Send->Server->Info.Service];
         at(Now + randomTime(ServerTime),
            [this, I, Id = Send->Attempt] { endAtServer(I, Id); });
+      } else if (std::holds_alternative<ClaimAttempts>(Action)) {
+        toAsker(I, H.Attempt, [this, Attempt = H.Attempt] {
+          RelayActions Out;
+          Request->onClaimed(Attempt, Out);
+          perform(Out);
+        });
       } else if (std::holds_alternative<RespondToCaller>(Action)) {
         toAsker(I, H.Attempt, [this, Attempt = H.Attempt] {
           endAttempt(Attempt, AttemptResult::Answered);
@@ -266,13 +290,20 @@
 
 TEST(AttemptLimitTest, RequestRanOnMoreServersThanItsRouteAllows) {
   int AnsweredRuns = 0;
+  int RunsAtLimit = 0;
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     AttemptWorld World(Seed);
     World.run();
     AnsweredRuns += World.Answered ? 1 : 0;
-    for (const auto &[Service, Count] : World.Sent)
+    bool AtLimit = false;
+    for (const auto &[Service, Count] : World.Sent) {
+      AtLimit |= World.Grants > 0 && Count == World.RequestRoute.MaxAttempts;
       EXPECT_LE(Count, World.RequestRoute.MaxAttempts)
           << "seed " << Seed << ", " << Service;
+    }
+    RunsAtLimit += AtLimit ? 1 : 0;
   }
   EXPECT_EQ(AnsweredRuns, static_cast<int>(Seeds));
+  // The limit is also used: requests that need their last attempt get it.
+  EXPECT_GT(RunsAtLimit, static_cast<int>(Seeds) / 10);
 }
--- a/tests/relay/ForwardingTest.cpp
+++ b/tests/relay/ForwardingTest.cpp
@@ -159,3 +159,56 @@
   ASSERT_TRUE(World.answered());
   EXPECT_EQ(World.Verdict->MissingParts, 1u);
 }
+
+TEST_F(ForwardingTest, HomeThatClaimsTheLastAttemptIsTheOnlyOne) {
+  startForward();
+  EXPECT_TRUE(World.Request->holdsBack(0));
+  World.acknowledge(0);
+  World.claim(0);
+  EXPECT_EQ(World.Granted, std::vector<std::size_t>{0});
+  World.endAttempt(0, AttemptResult::Lost);
+  ASSERT_TRUE(World.answered());
+  EXPECT_EQ(World.Verdict->Outcome, RelayOutcome::Failed);
+  EXPECT_EQ(World.SentServers.size(), 1u);
+}
+
+TEST_F(ForwardingTest, HomeThatIsLostWithoutAClaimIsReplaced) {
+  startForward();
+  World.acknowledge(0);
+  World.endAttempt(0, AttemptResult::Lost);
+  World.advance(absl::ZeroDuration());
+  ASSERT_EQ(World.SentServers.size(), 2u);
+  EXPECT_TRUE(World.Request->mayRepeat(1));
+  EXPECT_FALSE(World.Request->holdsBack(1));
+}
+
+TEST_F(ForwardingTest, ClaimOfAHomeThatWasLeftIsNotGranted) {
+  startForward();
+  World.advance(absl::Milliseconds(41));
+  ASSERT_EQ(World.SentServers.size(), 2u);
+  World.claim(0);
+  EXPECT_TRUE(World.Granted.empty());
+}
+
+TEST(HeldBackAttemptTest, HedgeWaitsForTheGrant) {
+  RelayRequestHarness World(4);
+  World.Sheet.Routes = {World.RequestRoute};
+  World.State->updateSheet(World.Sheet, World.Now);
+  RelayPlan Plan =
+      World.State->plan(World.State->table()->sheet().Routes[0], World.Now,
+                        absl::Seconds(1), World.TransitTime);
+  Plan.LastAttemptHeldBack = true;
+  World.startRequest(std::move(Plan));
+  World.endAttempt(0, AttemptResult::Answered);
+  World.endAttempt(1, AttemptResult::Answered);
+  World.advance(absl::Milliseconds(60));
+  EXPECT_EQ(World.SentServers.size(), 4u);
+  EXPECT_EQ(World.Claims, 1);
+  // A part that fails meanwhile waits as well.
+  World.endAttempt(2, AttemptResult::Lost);
+  EXPECT_FALSE(World.answered());
+  World.grant();
+  EXPECT_EQ(World.SentServers.size(), 6u);
+  World.grant();
+  EXPECT_EQ(World.SentServers.size(), 6u);
+}
--- a/tests/relay/LinkMessagesTest.cpp
+++ b/tests/relay/LinkMessagesTest.cpp
@@ -59,6 +59,7 @@
   Info.TransitTime = absl::Milliseconds(6);
   Info.SheetVersion = 9;
   Info.Repeated = true;
+  Info.LastAttemptHeldBack = true;
   return encodeLinkRequest(call(), names(), Info, absl::Milliseconds(250), Key);
 }
 
@@ -72,6 +73,8 @@
   EXPECT_EQ(Info->TransitTime, absl::Milliseconds(6));
   EXPECT_EQ(Info->SheetVersion, 9u);
   EXPECT_TRUE(Info->Repeated);
+  EXPECT_TRUE(Info->LastAttemptHeldBack);
+  EXPECT_FALSE(Info->GrantsAttempts);
   EXPECT_FALSE(Info->WantsSheet);
   const ForwardedRequest Call =
       decodeRequest(Request, names(), absl::UnixEpoch());
--- a/tests/relay/RelayRequestHarness.h
+++ b/tests/relay/RelayRequestHarness.h
@@ -98,6 +98,14 @@
 
   /// The home of attempt \p Attempt has read the request.
   void acknowledge(std::size_t Attempt) { Request->onAcknowledged(Attempt); }
+  /// The home of attempt \p Attempt claims the attempts that are held back.
+  void claim(std::size_t Attempt) {
+    step([&](RelayActions &Out) { Request->onClaimed(Attempt, Out); });
+  }
+  /// The asking instance grants what was claimed.
+  void grant() {
+    step([this](RelayActions &Out) { Request->onGranted(Now, Out); });
+  }
 
   bool answered() const { return Verdict.has_value(); }
   const ServerRef &serverOf(std::size_t Attempt) const {
@@ -116,6 +124,9 @@
   /// Server IDs of the attempts sent, in order.
   std::vector<std::string> SentServers;
   std::vector<std::size_t> Cancelled;
+  /// Attempts whose homes were granted what they claimed.
+  std::vector<std::size_t> Granted;
+  int Claims = 0;
   std::optional<RelayResult> Verdict;
 
 private:
@@ -131,6 +142,10 @@
         SentServers.push_back(Send->Server->Info.Id);
       else if (auto *Cancel = std::get_if<CancelRelayAttempt>(&Action))
         Cancelled.push_back(Cancel->Attempt);
+      else if (auto *Grant = std::get_if<GrantAttempts>(&Action))
+        Granted.push_back(Grant->Attempt);
+      else if (std::holds_alternative<ClaimAttempts>(Action))
+        ++Claims;
       else
         Verdict = std::get<RespondToCaller>(Action).Result;
     }
