--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -146,9 +146,11 @@
   Table = std::make_shared<const RouteTable>(std::move(Sheet));
   std::map<std::string, std::shared_ptr<RouteStats>> NewStats;
   for (const Route &R : Table->sheet().Routes) {
-    std::shared_ptr<RouteStats> &Existing = Stats[R.Name];
-    NewStats[R.Name] =
-        Existing != nullptr ? Existing : std::make_shared<RouteStats>();
+    auto Existing = Stats.extract(R.Name);
+    if (!Existing.empty())
+      NewStats.insert(std::move(Existing));
+    else
+      NewStats.try_emplace(R.Name, std::make_shared<RouteStats>());
   }
   Stats = std::move(NewStats);
   for (auto It = HomeStats.begin(); It != HomeStats.end();)
