--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -107,21 +107,31 @@
          P.Sent + 1 >= maxAttempts();
 }
 
-void RelayRequest::claim(std::size_t Index, RelayActions &Out) {
+void RelayRequest::claim(TimePoint Now, RelayActions &Out) {
+  if (ClaimedAt != absl::InfiniteFuture())
+    return;
+  ClaimedAt = Now;
+  for (Part &P : Parts)
+    P.ClaimAt = absl::InfiniteFuture();
+  Out.push_back(ClaimAttempts{});
+}
+
+void RelayRequest::awaitGrant(std::size_t Index, TimePoint Now,
+                              RelayActions &Out) {
   Part &P = Parts[Index];
   P.AwaitsGrant = true;
   P.HedgeAt = absl::InfiniteFuture();
   P.RetryAt = absl::InfiniteFuture();
-  if (Claimed)
-    return;
-  Claimed = true;
-  Out.push_back(ClaimAttempts{});
+  claim(Now, Out);
 }
 
 void RelayRequest::onGranted(TimePoint Now, RelayActions &Out) {
-  if (!Claimed || Granted || Answered)
+  if (ClaimedAt == absl::InfiniteFuture() || Granted)
     return;
   Granted = true;
+  Plan.Claims->record(Now - ClaimedAt);
+  if (Answered)
+    return;
   for (Part &P : Parts) {
     if (!P.AwaitsGrant || P.State != PartState::Open)
       continue;
@@ -270,9 +280,13 @@
   P.TriedServers.push_back(Server);
   P.RetryAt = absl::InfiniteFuture();
   P.HedgeAt = absl::InfiniteFuture();
+  P.ClaimAt = absl::InfiniteFuture();
   P.Obstacle = HedgeWithheldReason::None;
-  if (isIdempotent() && P.Sent < maxAttempts())
+  if (isIdempotent() && P.Sent < maxAttempts()) {
     P.HedgeAt = Now + hedgeDelay();
+    if (isHeldBack(P) && ClaimedAt == absl::InfiniteFuture())
+      P.ClaimAt = std::max(Now, P.HedgeAt - Plan.Claims->expected());
+  }
   Attempts.push_back(Attempt{Index, Server, Now, Cause});
   Out.push_back(SendRelayAttempt{Attempts.size() - 1, std::move(Server),
                                  Plan.Deadline - Now, Cause});
@@ -383,7 +397,7 @@
   // the first attempt.
   const bool First = P.Sent == 0;
   if (isHeldBack(P)) {
-    claim(Index, Out);
+    awaitGrant(Index, Now, Out);
     return;
   }
   if (!First && !T.Budget->spend(0, Plan.BudgetSharers, Now)) {
@@ -406,6 +420,13 @@
   P.RetryAt = Now + AllServersTriedDelay;
 }
 
+bool RelayRequest::mostPartsOpen() const {
+  const std::size_t OpenParts = Parts.size() - AnsweredParts - FailedParts;
+  return OpenParts > MinPartsForCommonDelay &&
+         static_cast<double>(OpenParts) >
+             static_cast<double>(Parts.size()) * CommonDelayShare;
+}
+
 void RelayRequest::hedge(std::size_t Index, TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   RelayTarget &T = Plan.Targets[Index];
@@ -418,15 +439,13 @@
   const bool FewPartsOpen = OpenParts <= 2;
   // If most parts are late, the cause is common to them: this instance is
   // behind with its work, or all servers are. Hedges would add to it.
-  if (OpenParts > MinPartsForCommonDelay &&
-      static_cast<double>(OpenParts) >
-          static_cast<double>(Parts.size()) * CommonDelayShare) {
+  if (mostPartsOpen()) {
     P.Obstacle = HedgeWithheldReason::MostPartsOpen;
     P.HedgeAt = Now + ExtraAttemptRecheckDelay;
     return;
   }
   if (isHeldBack(P)) {
-    claim(Index, Out);
+    awaitGrant(Index, Now, Out);
     return;
   }
   if (!T.Budget->spend(FewPartsOpen ? HedgeBudgetReserve
@@ -456,6 +475,11 @@
   for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
     if (Parts[I].State != PartState::Open)
       continue;
+    if (Parts[I].ClaimAt <= Now) {
+      Parts[I].ClaimAt = absl::InfiniteFuture();
+      if (!mostPartsOpen() && !suspected())
+        claim(Now, Out);
+    }
     if (Parts[I].RetryAt <= Now)
       retry(I, Now, Out);
     if (Parts[I].HedgeAt <= Now)
@@ -607,7 +631,7 @@
     NextTimer = std::min(NextTimer, Plan.ObjectiveDeadline);
   for (const Part &P : Parts)
     if (P.State == PartState::Open)
-      NextTimer = std::min({NextTimer, P.HedgeAt, P.RetryAt});
+      NextTimer = std::min({NextTimer, P.HedgeAt, P.ClaimAt, P.RetryAt});
 }
 
 } // namespace quetzallead
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -2,6 +2,7 @@
 #define QUETZALLEAD_CORE_RELAY_RELAYREQUEST_H
 
 #include "core/relay/BackendPool.h"
+#include "core/relay/ClaimDelay.h"
 #include "core/relay/ExtraLoadBudget.h"
 #include "core/relay/HedgeWithheldReason.h"
 #include "core/relay/RelayActions.h"
@@ -49,6 +50,8 @@
   /// The asking instance holds back the last attempt of each part, for another
   /// home, until this one claims them.
   bool LastAttemptHeldBack = false;
+  /// Must be set if LastAttemptHeldBack is.
+  std::shared_ptr<ClaimDelay> Claims;
 };
 
 /// State machine of one caller request: decides which server receives each
@@ -63,8 +66,8 @@
 /// A route's maximum number of attempts holds over all homes that have the
 /// request, whatever becomes of their messages: an asking instance holds back
 /// the last attempt of each part. A second home gets these, or the first, which
-/// claims them when it needs one; once they are granted, no other home gets the
-/// request.
+/// claims them when it is about to need one; once they are granted, no other
+/// home gets the request.
 /// Takes events and returns actions, and does no I/O. Not thread-safe.
 class RelayRequest {
 public:
@@ -140,6 +143,8 @@
     std::uint64_t WaitId = 0;
     std::vector<ServerRef> TriedServers;
     TimePoint HedgeAt = absl::InfiniteFuture();
+    /// When to claim the attempt that is due at HedgeAt.
+    TimePoint ClaimAt = absl::InfiniteFuture();
     TimePoint RetryAt = absl::InfiniteFuture();
     /// Why the due hedge has not been sent.
     HedgeWithheldReason Obstacle = HedgeWithheldReason::None;
@@ -172,7 +177,13 @@
   void retryOrFail(std::size_t Index, TimePoint Now);
   /// Whether the next attempt of \p P is held back by the asking instance.
   bool isHeldBack(const Part &P) const;
-  void claim(std::size_t Index, RelayActions &Out);
+  /// Claims the attempts that are held back, unless that has been done.
+  void claim(TimePoint Now, RelayActions &Out);
+  /// Claims them, and lets the next attempt of the part wait for the grant.
+  void awaitGrant(std::size_t Index, TimePoint Now, RelayActions &Out);
+  /// Whether most parts of a survey are open, so that the delay is common to
+  /// them.
+  bool mostPartsOpen() const;
   /// Whether a home that may have executed the request has got the attempts
   /// that were held back.
   bool grantedAway() const;
@@ -225,7 +236,7 @@
   std::size_t AnsweredParts = 0;
   std::size_t FailedParts = 0;
   bool Answered = false;
-  bool Claimed = false;
+  TimePoint ClaimedAt = absl::InfiniteFuture();
   /// The attempts that were claimed may be sent.
   bool Granted = false;
   TimePoint NextTimer = absl::InfiniteFuture();
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -320,6 +320,7 @@
   Plan.Stats = Stats.at(MatchedRoute.Name);
   Plan.Instances = HomeCount;
   Plan.BudgetSharers = budgetSharers(Arrived);
+  Plan.Claims = Claims;
   Plan.ArrivalTime = Arrived;
   Plan.Deadline = Arrived + std::min(TimeLeft - Options.DeadlineMargin,
                                      MatchedRoute.Timeout);
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -141,6 +141,7 @@
   /// Servers by id whose last pause or limit may not be over.
   std::map<std::string, ServerRef> RestrictedServers;
   std::shared_ptr<SharingInstances> Sharing;
+  std::shared_ptr<ClaimDelay> Claims = std::make_shared<ClaimDelay>();
   std::map<std::string, std::shared_ptr<RouteStats>> Stats;
   Service Homes;
   /// Response times of homes, by route name.
--- a/tests/relay/ForwardingTest.cpp
+++ b/tests/relay/ForwardingTest.cpp
@@ -198,9 +198,13 @@
       World.State->plan(World.State->table()->sheet().Routes[0], World.Now,
                         absl::Seconds(1), World.TransitTime);
   Plan.LastAttemptHeldBack = true;
+  const Duration HedgeDelay = Plan.Stats->hedgeDelay();
   World.startRequest(std::move(Plan));
   World.endAttempt(0, AttemptResult::Answered);
   World.endAttempt(1, AttemptResult::Answered);
+  // The claim goes ahead of the hedge.
+  World.advance(HedgeDelay - absl::Microseconds(500));
+  EXPECT_EQ(World.Claims, 1);
   World.advance(absl::Milliseconds(60));
   EXPECT_EQ(World.SentServers.size(), 4u);
   EXPECT_EQ(World.Claims, 1);
@@ -212,3 +216,23 @@
   World.grant();
   EXPECT_EQ(World.SentServers.size(), 6u);
 }
+
+TEST(HeldBackAttemptTest, GrantThatCameAheadDelaysNoHedge) {
+  RelayRequestHarness World(4);
+  World.Sheet.Routes = {World.RequestRoute};
+  World.State->updateSheet(World.Sheet, World.Now);
+  RelayPlan Plan =
+      World.State->plan(World.State->table()->sheet().Routes[0], World.Now,
+                        absl::Seconds(1), World.TransitTime);
+  Plan.LastAttemptHeldBack = true;
+  const Duration HedgeDelay = Plan.Stats->hedgeDelay();
+  World.startRequest(std::move(Plan));
+  for (std::size_t I = 0; I < 3; ++I)
+    World.endAttempt(I, AttemptResult::Answered);
+  World.advance(HedgeDelay - absl::Microseconds(500));
+  EXPECT_EQ(World.Claims, 1);
+  World.grant();
+  EXPECT_EQ(World.SentServers.size(), 4u);
+  World.advance(absl::Microseconds(500));
+  EXPECT_EQ(World.SentServers.size(), 5u);
+}
