relay: instances bring each other's sheets up to date instead of sending them whole

Cause: an instance that learned of a newer sheet fetched its whole text from homes of all zones in turn. Versions differ by one route.

Change: an instance says which version it has, and gets what differs (SheetHistory, TextDelta: the text in pieces that end with a closing brace, runs of pieces and new text in CBOR, with a hash of the result). Instances of the former version get and send whole texts. Instances that are no homes ask homes of their own zone as long as these answer and keep up; homes go on polling each other over all zones.

--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -92,6 +92,15 @@
   return Out;
 }
 
+std::size_t RelayState::nearHomeCount() const {
+  const auto &Servers = Homes.Pool->servers();
+  return static_cast<std::size_t>(
+      std::count_if(Servers.begin(), Servers.end(), [this](const auto &Entry) {
+        return Entry.second->AcceptsAttempts &&
+               Entry.second->Info.Zone == Options.Zone;
+      }));
+}
+
 RelayPlan RelayState::planForward(const Route *MatchedRoute, TimePoint Arrived,
                                   Duration TimeLeft) {
   auto Forward = std::make_shared<Route>();
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -97,6 +97,8 @@
   }
   /// Homes in order of preference, those of the own zone first.
   std::vector<ServerRef> homes() const;
+  /// Number of homes() in the own zone.
+  std::size_t nearHomeCount() const;
   /// Plans to forward a request to a home. \p MatchedRoute is the route that
   /// the request matches in table(), or null if it matches none.
   RelayPlan planForward(const Route *MatchedRoute, TimePoint Arrived,
--- a/src/relay/LinkMessages.cpp
+++ b/src/relay/LinkMessages.cpp
@@ -78,6 +78,7 @@
                    ";grant=", static_cast<int>(Info.GrantsAttempts),
                    ";passed_back=", static_cast<int>(Info.PassedBack),
                    ";wants_sheet=", static_cast<int>(Info.WantsSheet),
+                   ";update=", static_cast<int>(Info.TakesSheetUpdate),
                    ";crashes=", static_cast<int>(Info.ExchangesCrashes));
   const std::string Code =
       sign(Secret, {Fields, Call.Method, Call.Target, Call.Host, Call.RequestId,
@@ -119,6 +120,7 @@
   Out.GrantsAttempts = Number("grant") != 0;
   Out.PassedBack = Number("passed_back") != 0;
   Out.WantsSheet = Number("wants_sheet") != 0;
+  Out.TakesSheetUpdate = Number("update") != 0;
   Out.ExchangesCrashes = Number("crashes") != 0;
   return Out;
 }
--- a/src/relay/LinkMessages.h
+++ b/src/relay/LinkMessages.h
@@ -36,6 +36,8 @@
   bool PassedBack = false;
   /// The caller's request is for the sheet of the home.
   bool WantsSheet = false;
+  /// The response may be SheetHistory::updateFrom(SheetVersion).
+  bool TakesSheetUpdate = false;
   /// The body holds crash reports, and the response will.
   bool ExchangesCrashes = false;
   /// Not a request: a message that grants the home what it has claimed. It has
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -491,7 +491,12 @@
   if (FetchingSheet || Homes.empty() || LinkSecret.empty())
     return;
   FetchingSheet = true;
-  const ServerRef &Asked = Homes[SheetFetches % Homes.size()];
+  // The homes poll each other over all zones; the others have nothing to learn
+  // from afar while a home of their zone keeps up.
+  const std::size_t Near = State.nearHomeCount();
+  const bool AsksAll = Home || FailedFetches >= Near;
+  const ServerRef &Asked =
+      Homes[SheetFetches % (AsksAll ? Homes.size() : Near)];
   ForwardedRequest Call;
   Call.Method = "GET";
   Call.Target = LinkSheetTarget;
@@ -501,8 +506,8 @@
       absl::StrCat(Environment.Headers.RequestId, ": ", Call.RequestId, "\r\n");
   LinkRequestInfo Info;
   Info.WantsSheet = true;
-  Info.SheetVersion =
-      State.table() != nullptr ? State.table()->sheet().Version : 0;
+  Info.SheetVersion = Sheets.version();
+  Info.TakesSheetUpdate = !WantsWholeSheet;
   HttpExchange Exchange;
   Exchange.Bytes = encodeLinkRequest(Call, Environment.Headers, Info,
                                      SheetFetchTimeout, LinkSecret);
@@ -519,7 +524,7 @@
     const auto Info = decodeLinkResponse(
         *End.Response, absl::StrCat("sheet-", SheetFetches), LinkSecret);
     if (Info && !Info->TryElsewhere && !End.Response->body().empty() &&
-        adoptSheet(End.Response->body(), 0))
+        adoptFetched(End.Response->body()))
       Contact.onSheetFromHome(LoopTimers::now());
     if (Info) {
       noteHome(*Info);
@@ -528,6 +533,8 @@
     }
   }
   FetchingSheet = false;
+  const bool Reached = End.Result == AttemptResult::Answered;
+  FailedFetches = Reached && !sheetBehind() ? 0 : FailedFetches + 1;
   const Duration Interval = sheetBehind() ? SheetFetchRetryDelay
                             : Home        ? HomePollInterval
                                           : AskerPollInterval;
@@ -535,6 +542,18 @@
                          [this](TimePoint) { fetchSheet(); });
 }
 
+bool RelayDaemon::adoptFetched(const std::string &Body) {
+  if (!isSheetUpdate(Body))
+    return adoptSheet(Body, 0);
+  const std::optional<std::string> Text = Sheets.apply(Body);
+  WantsWholeSheet = !Text;
+  if (Text)
+    return adoptSheet(*Text, 0);
+  logEvent(LogLevel::Warning, "sheet_update_unusable",
+           {{"version", Sheets.version()}, {"bytes", Body.size()}});
+  return false;
+}
+
 void RelayDaemon::updateSheet(const std::vector<StoreItem> &Items) {
   // A newer entry supersedes all older ones.
   const StoreItem *Newest = nullptr;
@@ -570,7 +589,7 @@
            {{"version", Version}, {"routes", Routes}, {"revision", Revision}});
   if (!Adopted)
     return false;
-  SheetText = std::string(Text);
+  Sheets.add(Version, std::string(Text));
   NewestSheetVersion = std::max(NewestSheetVersion, Version);
   return true;
 }
@@ -916,9 +935,11 @@
   }
   if (Info.WantsSheet && State.table() != nullptr) {
     const bool KeepOpen = Asker->mayKeepOpen();
-    const bool Newer = State.table()->sheet().Version > Info.SheetVersion;
-    respond(*Asker, Call.RequestId,
-            encodeLinkBody(Newer ? SheetText : "", KeepOpen), KeepOpen);
+    std::string Body;
+    if (Sheets.version() > Info.SheetVersion)
+      Body = Info.TakesSheetUpdate ? Sheets.updateFrom(Info.SheetVersion)
+                                   : Sheets.text();
+    respond(*Asker, Call.RequestId, encodeLinkBody(Body, KeepOpen), KeepOpen);
     return;
   }
   if (Info.ExchangesCrashes) {
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -2,6 +2,7 @@
 #define QUETZALLEAD_RELAY_RELAYDAEMON_H
 
 #include "core/relay/RelayState.h"
+#include "core/relay/SheetHistory.h"
 #include "core/relay/StoreContact.h"
 #include "relay/AttemptCodec.h"
 #include "relay/BackendClient.h"
@@ -110,6 +111,9 @@
   /// while.
   void fetchSheet();
   void onSheetFetched(const ServerRef &Asked, const HttpExchangeResult &End);
+  /// Puts the sheet that a home has returned into force if it is newer; tells
+  /// whether it was.
+  bool adoptFetched(const std::string &Body);
   /// Puts \p Text into force if it is a newer sheet; tells whether it was.
   bool adoptSheet(absl::string_view Text, std::uint64_t Revision);
   /// Records what a home says of itself.
@@ -164,13 +168,16 @@
   bool Home = false;
   /// The sheet and the servers are followed in the store.
   bool Active = false;
-  /// The sheet in force as it was read.
-  std::string SheetText;
+  SheetHistory Sheets;
   /// Highest sheet version that this instance or a home that it asked has had.
   std::uint64_t NewestSheetVersion = 0;
   bool FetchingSheet = false;
   StoreContact Contact;
   std::size_t SheetFetches = 0;
+  /// Fetches since one that brought the sheet up to date.
+  std::size_t FailedFetches = 0;
+  /// An update could not be applied: the whole sheet is asked for.
+  bool WantsWholeSheet = false;
   std::shared_ptr<LoopTimers::Subscription> FetchTimer;
   Acceptor CallerListener;
   Acceptor ReadinessListener;
