relay: long steps of the loop are logged and counted

An instance has one thread and a share of a core. A step that takes a sheet, applies changes of servers or instances, writes metrics or begins a request is timed; one of more than 5 ms is logged (loop_step_long with its task) and counted (quetzallead_loop_steps_long_total).

Tried first (trial): processor time of the thread around each handler of the loop.

The bound does not hold yet for sheets.

--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -410,6 +410,7 @@
 }
 
 void RelayDaemon::onDirectory(const InstanceDirectory &Directory) {
+  const auto Step = Steps.begin(LoopTask::Instances);
   const TimePoint Now = LoopTimers::now();
   LinkSecret = Directory.LinkSecret;
   const int Count = std::max(1, Directory.count());
@@ -576,6 +577,7 @@
 }
 
 bool RelayDaemon::adoptSheet(absl::string_view Text, std::uint64_t Revision) {
+  const auto Step = Steps.begin(LoopTask::Sheet);
   auto Decoded = capture([&] { return Environment.DecodeSheet(Text); });
   if (auto *Fault = std::get_if<Error>(&Decoded)) {
     logEvent(LogLevel::Error, "sheet_refused", {{"reason", Fault->text()}});
@@ -595,6 +597,7 @@
 }
 
 void RelayDaemon::applyServerChanges(const std::vector<FeedChange> &Changes) {
+  const auto Step = Steps.begin(LoopTask::Servers);
   for (const FeedChange &Change : Changes)
     logEvent(LogLevel::Info, "server_word",
              {{"server", Change.Id},
@@ -772,6 +775,7 @@
 }
 
 void RelayDaemon::onScrape(const std::shared_ptr<CallerSession> &Scraper) {
+  const auto Step = Steps.begin(LoopTask::Metrics);
   const bool KeepOpen = Scraper->mayKeepOpen();
   Scraper->respond(
       encodeMetricsResponse(Metrics.serialize(snapshot(LoopTimers::now())),
@@ -935,6 +939,7 @@
   }
   if (Info.WantsSheet && State.table() != nullptr) {
     const bool KeepOpen = Asker->mayKeepOpen();
+    const auto Step = Steps.begin(LoopTask::Sheet);
     std::string Body;
     if (Sheets.version() > Info.SheetVersion)
       Body = Info.TakesSheetUpdate ? Sheets.updateFrom(Info.SheetVersion)
@@ -991,6 +996,7 @@
 
 void RelayDaemon::serve(const std::shared_ptr<CallerSession> &Caller,
                         ForwardedRequest Call, const LinkRequestInfo &Info) {
+  const auto Step = Steps.begin(LoopTask::Request);
   const TimePoint Now = LoopTimers::now();
   const std::shared_ptr<const RouteTable> Table = State.table();
   if (Call.Host.empty()) {
@@ -1197,6 +1203,12 @@
     accept(MetricsListener, MetricsHandlers, false);
   waitForSignal();
   followStore();
+  Steps.OnLongStep = [this](LoopTask Task, Duration Time) {
+    logEvent(LogLevel::Info, "loop_step_long",
+             {{"task", nameOf(LoopTaskNames, Task)},
+              {"ms", absl::ToDoubleMilliseconds(Time)}});
+    Metrics.loopStepLong(Task);
+  };
   Loop.run();
 }
 
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -151,6 +151,7 @@
   Deployment Environment;
   boost::asio::io_context Loop;
   LoopTimers Timers;
+  LoopSteps Steps;
   RelayState State;
   RelayMetrics Metrics;
   ServerFeed Feed;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -98,6 +98,10 @@
   void serverPaused() { PauseCount.Increment(); }
   void serverLimited() { LimitCount.Increment(); }
   void serverEnded() { EndCount.Increment(); }
+  void loopStepLong(LoopTask Task) {
+    LongSteps.Add({{"task", std::string(nameOf(LoopTaskNames, Task))}})
+        .Increment();
+  }
   std::string serialize(const RelaySnapshot &Snapshot);
 
 private:
@@ -132,6 +136,10 @@
   Family<Counter> &Rejected =
       counterFamily("quetzallead_rejected_requests_total",
                     "Requests turned away before they met a route, by reason.");
+  Family<Counter> &LongSteps =
+      counterFamily("quetzallead_loop_steps_long_total",
+                    "Steps of the event loop that took more than 5 ms."
+                    " No other request is served meanwhile.");
   Family<Counter> &LateAnswers =
       counterFamily("quetzallead_late_answers_total",
                     "Answers that left after the route's objective.");
@@ -320,6 +328,8 @@
 
 void RelayMetrics::serverPaused() { Impl->serverPaused(); }
 
+void RelayMetrics::loopStepLong(LoopTask Task) { Impl->loopStepLong(Task); }
+
 void RelayMetrics::serverLimited() { Impl->serverLimited(); }
 
 void RelayMetrics::serverEnded() { Impl->serverEnded(); }
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -3,6 +3,7 @@
 
 #include "quetzallead/AttemptCause.h"
 #include "quetzallead/AttemptResult.h"
+#include "relay/LoopSteps.h"
 #include "relay/RejectReason.h"
 #include "relay/RelayRequestSample.h"
 #include "relay/RelaySnapshot.h"
@@ -34,6 +35,8 @@
   void serverPaused();
   /// A backend server has named a limit, or a different one.
   void serverLimited();
+  /// A step of the event loop took longer than LoopSteps::MaxStep.
+  void loopStepLong(LoopTask Task);
   /// A backend server has ended while it ran a request.
   void serverEnded();
   /// All metrics in the text format of Prometheus. The gauges are set
--- a/tests/relay/AttemptClaimTest.cpp
+++ b/tests/relay/AttemptClaimTest.cpp
@@ -25,7 +25,7 @@
     Home->Info.Address =
         "127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
     Handlers.OnRequest = [this](const std::shared_ptr<CallerSession> &Session,
-                                HttpRequest Request) {
+                                const HttpRequest &Request) {
       const auto Info = decodeLinkRequest(Request, Names, Secret);
       ASSERT_TRUE(Info);
       if (Info->GrantsAttempts) {
--- a/tests/relay/PlatformSheetReaderTest.cpp
+++ b/tests/relay/PlatformSheetReaderTest.cpp
@@ -28,6 +28,7 @@
 
 std::vector<std::string> routeTexts(int Count) {
   std::vector<std::string> Out;
+  Out.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Out.push_back(routeText(I, 100));
   return Out;
--- a/tests/relay/SheetHistoryTest.cpp
+++ b/tests/relay/SheetHistoryTest.cpp
@@ -4,6 +4,7 @@
 #include "core/base/TextDelta.h"
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <pcg_random.hpp>
 #include <vector>
 
@@ -23,9 +24,8 @@
 }
 
 std::vector<int> routes(int Count) {
-  std::vector<int> Out;
-  for (int I = 0; I < Count; ++I)
-    Out.push_back(I);
+  std::vector<int> Out(static_cast<std::size_t>(Count));
+  std::iota(Out.begin(), Out.end(), 0);
   return Out;
 }
 
