--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -232,7 +232,8 @@
                                   HttpRequest Request) {
     onLinkRequest(Asker, std::move(Request));
   };
-  LinkHandlers.OnMessage = [this](CallerSession &Asker, HttpRequest Message) {
+  LinkHandlers.OnMessage = [this](CallerSession &Asker,
+                                  const HttpRequest &Message) {
     return onLinkMessage(Asker, Message);
   };
   LinkHandlers.OnClosed = [](CallerSession &) {};
