--- a/tests/relay/ForwardingTest.cpp
+++ b/tests/relay/ForwardingTest.cpp
@@ -236,3 +236,19 @@
   World.advance(absl::Microseconds(500));
   EXPECT_EQ(World.SentServers.size(), 5u);
 }
+
+// The home that had the request before may have run it.
+TEST(RepeatedRequestTest, RejectionOfASecondHomeSaysNotRun) {
+  RelayRequestHarness World(1);
+  World.Sheet.Routes = {World.RequestRoute};
+  World.State->updateSheet(World.Sheet, World.Now);
+  RelayPlan Plan =
+      World.State->plan(World.State->table()->sheet().Routes[0], World.Now,
+                        absl::Seconds(1), World.TransitTime);
+  Plan.Repeated = true;
+  while (Plan.Targets[0].Budget->spend(0, 1, World.Now))
+    ;
+  World.startRequest(std::move(Plan));
+  ASSERT_TRUE(World.answered());
+  EXPECT_NE(World.Verdict->Outcome, RelayOutcome::Rejected);
+}
