--- a/tests/relay/CrashingRequestTest.cpp
+++ b/tests/relay/CrashingRequestTest.cpp
@@ -13,8 +13,8 @@
 
 class CrashingRequestTest : public RelayWithStore {
 protected:
-  explicit CrashingRequestTest(const std::string &LinkListen = "")
-      : RelayWithStore(LinkListen) {
+  explicit CrashingRequestTest(const std::string &GivenLinkListen = "")
+      : RelayWithStore(GivenLinkListen) {
     for (std::size_t I = 0; I < Servers.size(); ++I)
       putServer(absl::StrCat("s-", I), "ready", Servers[I], 1);
     putServer("i-1", "draining");
--- a/tests/relay/FakeStore.cpp
+++ b/tests/relay/FakeStore.cpp
@@ -51,6 +51,12 @@
   Changed.notify_all();
 }
 
+std::string FakeStore::value(const std::string &Key) const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  auto Found = Items.find(Key);
+  return Found != Items.end() ? Found->second.Value : "";
+}
+
 void FakeStore::setSilent(bool Value) {
   std::lock_guard<std::mutex> Lock(Mutex);
   Silent = Value;
--- a/tests/relay/FakeStore.h
+++ b/tests/relay/FakeStore.h
@@ -29,6 +29,8 @@
   std::string address() const;
   void put(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
+  /// The value of \p Key; empty if there is none.
+  std::string value(const std::string &Key) const;
   /// While the store is silent, each response is lost: its connection stays
   /// open and returns nothing further.
   void setSilent(bool Value);
--- a/tests/relay/RelayWithStore.h
+++ b/tests/relay/RelayWithStore.h
@@ -32,9 +32,10 @@
 /// Runs a relay that follows a store over HTTP, with one backend server.
 class RelayWithStore : public testing::Test {
 protected:
-  /// \p LinkListen is the relay's address for other instances; it is alone if
-  /// that is empty.
-  explicit RelayWithStore(const std::string &LinkListen = "") {
+  /// \p GivenLinkListen is the relay's address for other instances; it is alone
+  /// if that is empty.
+  explicit RelayWithStore(const std::string &GivenLinkListen = "")
+      : LinkListen(GivenLinkListen) {
     Store.put("op/config", sheet(3, "/"));
     putServer("i-1", "ready");
     CallerPort = freePort();
@@ -50,13 +51,13 @@
   }
 
   RelaySettings settings(const std::string &Instance, int Port,
-                         const std::string &LinkListen) const {
+                         const std::string &GivenLinkListen) const {
     RelaySettings Settings;
     Settings.Instance = Instance;
     Settings.Zone = "a";
     Settings.CallerListen = absl::StrCat("127.0.0.1:", Port);
     Settings.ReadinessListen = absl::StrCat("127.0.0.1:", freePort());
-    Settings.LinkListen = LinkListen;
+    Settings.LinkListen = GivenLinkListen;
     Settings.StoreAddress = Store.address();
     Settings.StopGrace = absl::Seconds(3);
     return Settings;
@@ -120,6 +121,7 @@
     ASSERT_TRUE(Holds);
   }
 
+  const std::string LinkListen;
   std::atomic<int> LastRequestId{0};
   FakeStore Store;
   PathEchoServer Backend;
