relay: a second home does not say "not run" of what the first may have run

A home that gets a request after one that may have run it counted only its own attempts: with a spent budget, or with no server in time, it rejected with 503 ("not run") where 502 is true. Plan.Repeated now counts as an execution in both.

--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -195,6 +195,10 @@
     }
   }
   if (InTimeCount < neededParts()) {
+    if (Plan.Repeated) {
+      finish(failureResult(Now), Out);
+      return;
+    }
     if (Slowest != nullptr) {
       finish(rejection(*Slowest, LongestWait - (Cutoff - Now), Now), Out);
       return;
@@ -547,7 +551,8 @@
 }
 
 bool RelayRequest::mayHaveExecuted() const {
-  return std::any_of(Attempts.begin(), Attempts.end(),
+  return Plan.Repeated ||
+         std::any_of(Attempts.begin(), Attempts.end(),
                      [](const Attempt &A) { return !A.NotExecuted; });
 }
 
