relay: an instance that has lost the backend servers hands its requests over

Cause: an instance learned of each server by itself, after 400 ms, and its reconnect timer took a server for reachable because a connection object existed; where a request goes depended on the directory and the store, not on the servers; a home acknowledged requests that it could not serve, and its failure was final. Class: an instance judges its own reach by the health of what it reaches.

Change: ServerContact tells the loss of all servers from servers that are down, slow or in another zone: several are silent at once, nothing is heard from any, and probes are not accepted. Then all servers are marked, and requests go to a home (chooseHandOver): new ones at once, those in flight if an attempt of each part is left. A home passes back what it has not begun and says that it has lost the servers, so that it is left out for a moment; of what it has begun it says so, and the asking instance repeats what it may. A request crosses instances once. A route whose servers cannot be connected to goes the same way, to two homes at most. A server counts as reachable again only once a new connection is established. 502 stays the answer where neither holds.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -528,6 +528,24 @@
   });
 }
 
+bool BackendPool::hasConnectableServer() const {
+  return std::any_of(Servers.begin(), Servers.end(), [](const auto &Item) {
+    return Item.second->AcceptsAttempts && !Item.second->Unreachable;
+  });
+}
+
+bool BackendPool::outOfReach() const {
+  bool AnyListed = false;
+  for (const auto &[Id, S] : Servers) {
+    if (!S->AcceptsAttempts)
+      continue;
+    if (!S->OutOfReach)
+      return false;
+    AnyListed = true;
+  }
+  return AnyListed;
+}
+
 Duration BackendPool::pauseLeft(TimePoint Now) const {
   if (hasReachableServer(Now))
     return absl::ZeroDuration();
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -107,6 +107,12 @@
   /// True if a server may get an attempt at \p Now and is not marked
   /// unreachable.
   bool hasReachableServer(TimePoint Now) const;
+  /// True if a server accepts attempts and is not marked unreachable, even if
+  /// it has asked for a pause.
+  bool hasConnectableServer() const;
+  /// True if there are servers that accept attempts, and no connection to any
+  /// of them can be established.
+  bool outOfReach() const;
   /// Time until the first pause ends if all reachable servers are paused, or
   /// zero.
   Duration pauseLeft(TimePoint Now) const;
--- a/src/core/relay/DiscoveredServer.h
+++ b/src/core/relay/DiscoveredServer.h
@@ -24,6 +24,8 @@
   /// Start time in milliseconds of Unix time; 0 if unknown. Differs between
   /// incarnations under the same id.
   std::int64_t StartedAtMillis = 0;
+  /// It is an instance of this tier that forwarded requests go to.
+  bool IsInstance = false;
 };
 
 } // namespace quetzallead
--- a/src/core/relay/PoolServer.h
+++ b/src/core/relay/PoolServer.h
@@ -49,12 +49,25 @@
   TimePoint EjectedUntil = absl::InfinitePast();
   ServerPause Pause;
   ServerLimit Limit;
-  /// Set when no connection can be established; cleared once one is.
+  /// Set when no connection can be established, or a request was not answered
+  /// in time; cleared once a connection is established or a response arrives.
   bool Unreachable = false;
+  /// When Unreachable was set last.
+  TimePoint UnreachableSince = absl::InfinitePast();
+  /// No connection could be established, or this instance has lost all servers.
+  /// Implies Unreachable.
+  bool OutOfReach = false;
   /// Open connections without a request.
   int IdleConnections = 0;
 
   int inFlight() const { return static_cast<int>(Pending.size()); }
+  /// Whether an attempt has become overdue after \p Since.
+  bool becameOverdue(TimePoint Since, TimePoint Now) const {
+    for (const PendingAttempt &P : Pending)
+      if (P.Overdue > Since && P.Overdue <= Now)
+        return true;
+    return false;
+  }
   bool overdue(TimePoint Now) const {
     for (const PendingAttempt &P : Pending)
       if (P.Overdue <= Now)
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -51,15 +51,6 @@
     leaveQueue(I);
 }
 
-std::size_t RelayRequest::neededParts() const {
-  if (!isSurvey())
-    return 1;
-  // The epsilon keeps rounding errors from raising 0.9 * 10 to 10.
-  const double Needed =
-      Plan.MatchedRoute->MinCoverage * static_cast<double>(Parts.size()) - 1e-9;
-  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(Needed)));
-}
-
 Duration RelayRequest::hedgeDelay() const {
   // However slow the servers have become, a part that is hedged has to have
   // time left to arrive by the objective.
@@ -161,11 +152,47 @@
 }
 
 bool RelayRequest::mayRepeat(std::size_t Id) const {
-  return std::any_of(Attempts.begin(),
+  return Plan.Repeated ||
+         std::any_of(Attempts.begin(),
                      Attempts.begin() + static_cast<std::ptrdiff_t>(Id),
                      [](const Attempt &A) { return !A.NotExecuted; });
 }
 
+bool RelayRequest::mayBeRepeated() const {
+  if (!mayHaveExecuted())
+    return true;
+  if (!isIdempotent() || Plan.HandedOver)
+    return false;
+  // What is held back is for this case.
+  if (Plan.LastAttemptHeldBack)
+    return !Granted;
+  return !Plan.Repeated &&
+         std::all_of(Parts.begin(), Parts.end(),
+                     [this](const Part &P) { return P.Sent < maxAttempts(); });
+}
+
+bool RelayRequest::lacksServers() const {
+  const auto OutOfReach = static_cast<std::size_t>(
+      std::count_if(Plan.Targets.begin(), Plan.Targets.end(),
+                    [](const RelayTarget &T) { return T.Pool->outOfReach(); }));
+  return OutOfReach > 0 && Parts.size() - OutOfReach < neededParts();
+}
+
+void RelayRequest::onServersLost(TimePoint Now, RelayActions &Out) {
+  if (Answered || isForwarded())
+    return;
+  // What may not be repeated can still be answered on a connection that lives
+  // on; the connection ends it otherwise.
+  const bool MayWait = !isIdempotent() && mayHaveExecuted();
+  if (MayWait)
+    return;
+  if (AnsweredParts >= neededParts())
+    finish(mergedResult(), Out);
+  else
+    finish(failureResult(Now), Out);
+  updateNextTimer();
+}
+
 void RelayRequest::start(TimePoint Now, RelayActions &Out) {
   for (RelayTarget &T : Plan.Targets)
     if (!Plan.Repeated)
@@ -222,8 +249,10 @@
     return;
   }
   for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
-    const bool Affordable = !Plan.Repeated || Plan.Targets[I].Budget->spend(
-                                                  0, Plan.BudgetSharers, Now);
+    // A home that gets a repeated request pays for it.
+    const bool Affordable =
+        !Plan.Repeated || isForwarded() ||
+        Plan.Targets[I].Budget->spend(0, Plan.BudgetSharers, Now);
     if (InTime[I] && Affordable)
       acquirePermit(I, AttemptCause::First, Now, Out);
     else
@@ -393,7 +422,7 @@
 void RelayRequest::retry(std::size_t Index, TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   RelayTarget &T = Plan.Targets[Index];
-  if (blocked()) {
+  if (blocked() || (!isForwarded() && T.Pool->outOfReach())) {
     failPart(Index);
     return;
   }
@@ -550,9 +579,8 @@
   return Text;
 }
 
-bool RelayRequest::mayHaveExecuted() const {
-  return Plan.Repeated ||
-         std::any_of(Attempts.begin(), Attempts.end(),
+bool RelayRequest::begun() const {
+  return std::any_of(Attempts.begin(), Attempts.end(),
                      [](const Attempt &A) { return !A.NotExecuted; });
 }
 
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -47,6 +47,8 @@
   /// Another home may already have sent the request to backend servers: each
   /// attempt is an extra one, and each part gets one at most.
   bool Repeated = false;
+  /// Another instance could not serve the request: it is not handed over again.
+  bool HandedOver = false;
   /// The asking instance holds back the last attempt of each part, for another
   /// home, until this one claims them.
   bool LastAttemptHeldBack = false;
@@ -97,6 +99,10 @@
   /// Handles the grant of the attempts that were claimed.
   void onGranted(TimePoint Now, RelayActions &Out);
   void onTimer(TimePoint Now, RelayActions &Out);
+  /// Handles the loss of all backend servers: ends the request with what it
+  /// has, unless it may neither be repeated nor is known not to have been
+  /// executed.
+  void onServersLost(TimePoint Now, RelayActions &Out);
   /// Handles a disconnect of the caller: leaves the queues and, if the request
   /// is idempotent, cancels the attempts in flight.
   void onCallerDisconnected(TimePoint Now, RelayActions &Out);
@@ -117,6 +123,16 @@
   AttemptCause causeOf(std::size_t Id) const { return Attempts[Id].Cause; }
   /// Whether an attempt is known not to have been executed.
   bool passedBack() const;
+  /// Whether another instance may send the request to backend servers after
+  /// this one has failed: it has not been executed, or it is idempotent and
+  /// each part has an attempt left. The asking instance knows how many are left
+  /// to a request of its.
+  bool mayBeRepeated() const;
+  /// Whether an attempt of this instance may have been executed.
+  bool begun() const;
+  /// Whether no connection to any server of the service, or of too many shards,
+  /// can be established.
+  bool lacksServers() const;
   /// Whether an attempt before \p Id may have been executed or still may be.
   bool mayRepeat(std::size_t Id) const;
   /// Whether the home of attempt \p Id has to claim the last attempt of each
@@ -199,10 +215,12 @@
   RelayResult rejection(const RelayTarget &Target, Duration Wait,
                         TimePoint Now) const;
   RelayResult mergedResult() const;
-  /// True unless every attempt is known not to have been executed.
-  bool mayHaveExecuted() const;
-  std::size_t neededParts() const;
+  std::size_t neededParts() const {
+    return quetzallead::neededParts(*Plan.MatchedRoute);
+  }
   void updateNextTimer();
+  /// Whether an attempt of this or another instance may have been executed.
+  bool mayHaveExecuted() const { return Plan.Repeated || begun(); }
   bool blocked() const { return IsBlocked && IsBlocked(); }
   bool suspected() const { return IsSuspected && IsSuspected(); }
   bool isIdempotent() const {
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -25,6 +25,9 @@
 /// from its own budget.
 static constexpr double ForwardExtraShare = 0.1;
 static constexpr double ForwardExtraBase = 4;
+/// How long a home that has lost the backend servers gets no requests. Each
+/// response of it begins that time anew.
+static constexpr Duration HomeWithoutServersTime = absl::Milliseconds(800);
 /// How long the limit of a server that is not listed is remembered.
 static constexpr Duration LimitMemoryTime = absl::Minutes(1);
 
@@ -67,6 +70,7 @@
       Info.Address = Home.LinkAddress;
       Info.Zone = Home.Zone;
       Info.Slots = HomeSlots;
+      Info.IsInstance = true;
       Homes.Pool->upsert(Info, Now);
       if (!Known && Zone == Options.Zone)
         NewHomes.push_back(Homes.Pool->servers().at(Home.Name));
@@ -81,6 +85,84 @@
   return NewHomes;
 }
 
+void RelayState::noteHome(const ServerRef &Home, bool ServersLost,
+                          TimePoint Now) {
+  if (ServersLost)
+    extendPause(Home->Pause, HomeWithoutServersTime, Now);
+  else
+    Home->Pause = ServerPause();
+}
+
+std::vector<ServerRef> RelayState::listedServers() const {
+  std::vector<ServerRef> Out;
+  for (const auto &[Name, S] : Services)
+    for (const auto &[Id, Server] : S.Pool->servers())
+      if (Server->AcceptsAttempts)
+        Out.push_back(Server);
+  return Out;
+}
+
+static bool isSilent(const PoolServer &S, TimePoint HeardAt, TimePoint Now) {
+  return (S.Unreachable && S.UnreachableSince > HeardAt) ||
+         S.becameOverdue(HeardAt, Now);
+}
+
+ServerContactSample RelayState::contactSample(TimePoint HeardAt,
+                                              TimePoint Now) const {
+  ServerContactSample Sample;
+  for (const auto &[Name, S] : Services)
+    for (const auto &[Id, Server] : S.Pool->servers()) {
+      if (!Server->AcceptsAttempts)
+        continue;
+      ++Sample.Listed;
+      Sample.Silent += isSilent(*Server, HeardAt, Now) ? 1 : 0;
+      Sample.Unreachable += Server->Unreachable ? 1 : 0;
+    }
+  return Sample;
+}
+
+std::vector<ServerRef> RelayState::serversToProbe(std::size_t Count,
+                                                  TimePoint HeardAt,
+                                                  TimePoint Now) const {
+  std::vector<ServerRef> Servers = listedServers();
+  const auto Others = std::stable_partition(
+      Servers.begin(), Servers.end(),
+      [&](const ServerRef &S) { return isSilent(*S, HeardAt, Now); });
+  // Those that are not silent are needed only if there are too few.
+  const auto SilentCount = static_cast<std::size_t>(Others - Servers.begin());
+  Servers.resize(std::max(SilentCount, std::min(Count, Servers.size())));
+  std::stable_sort(Servers.begin(), Servers.end(),
+                   [](const ServerRef &A, const ServerRef &B) {
+                     return A->Info.Zone < B->Info.Zone;
+                   });
+  // Equal steps through the zones lead to different zones and services.
+  std::vector<ServerRef> Out;
+  const std::size_t Chosen = std::min(Count, Servers.size());
+  for (std::size_t I = 0; I < Chosen; ++I)
+    Out.push_back(Servers[I * Servers.size() / Chosen]);
+  return Out;
+}
+
+bool RelayState::hasAttemptsInFlight() const {
+  for (const auto &[Name, S] : Services)
+    for (const auto &[Id, Server] : S.Pool->servers())
+      if (!Server->Pending.empty())
+        return true;
+  return false;
+}
+
+bool RelayState::outOfReach(const Route &R) const {
+  std::size_t Lost = 0;
+  for (const RouteService &S : R.Services) {
+    auto Found = Services.find(S.Name);
+    Lost += Found != Services.end() && Found->second.Pool->outOfReach() ? 1 : 0;
+  }
+  // A part of a split is chosen later.
+  return R.Target == RouteTarget::Survey
+             ? Lost > 0 && R.Services.size() - Lost < neededParts(R)
+             : Lost == R.Services.size();
+}
+
 std::vector<ServerRef> RelayState::homes() const {
   std::vector<ServerRef> Out;
   for (const auto &[Name, Home] : Homes.Pool->servers())
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -7,6 +7,7 @@
 #include "core/relay/LeavingServers.h"
 #include "core/relay/RelayRequest.h"
 #include "core/relay/RouteTable.h"
+#include "core/relay/ServerContact.h"
 #include "core/relay/ServerFeed.h"
 #include "core/relay/SharingInstances.h"
 #include "core/relay/SplitPicker.h"
@@ -92,9 +93,15 @@
   std::vector<ServerRef> updateHomes(const InstanceDirectory &Directory,
                                      const std::string &Self, TimePoint Now);
   /// Whether a home is known that is not marked unreachable.
-  bool hasReachableHome(TimePoint Now) const {
+  bool hasReachableHome() const { return Homes.Pool->hasConnectableServer(); }
+  /// Whether one of these has not said a moment ago that it has lost the
+  /// backend servers.
+  bool hasHomeWithServers(TimePoint Now) const {
     return Homes.Pool->hasReachableServer(Now);
   }
+  /// Records whether \p Home has said that it has lost the backend servers. It
+  /// then gets no requests for a moment.
+  static void noteHome(const ServerRef &Home, bool ServersLost, TimePoint Now);
   /// Homes in order of preference, those of the own zone first.
   std::vector<ServerRef> homes() const;
   /// Number of homes() in the own zone.
@@ -108,6 +115,21 @@
   /// server has named so far.
   std::map<std::string, ServiceSnapshot> snapshot(TimePoint Now) const;
 
+  /// What the backend servers of all services show, given that one was heard
+  /// from at \p HeardAt last.
+  ServerContactSample contactSample(TimePoint HeardAt, TimePoint Now) const;
+  /// The backend servers that accept attempts.
+  std::vector<ServerRef> listedServers() const;
+  /// Up to \p Count of them, of different services and zones as far as
+  /// possible; those that are silent in the sense of contactSample() first.
+  std::vector<ServerRef> serversToProbe(std::size_t Count, TimePoint HeardAt,
+                                        TimePoint Now) const;
+  /// Whether an attempt at a backend server is in flight.
+  bool hasAttemptsInFlight() const;
+  /// Whether a request on \p R cannot be served because no connection to any
+  /// server of a service, or of too many shards, can be established.
+  bool outOfReach(const Route &R) const;
+
   /// Grants free slots to the queued attempts of all services.
   void grantPermits(TimePoint Now);
 
--- /dev/null
+++ b/src/core/relay/Route.cpp
@@ -0,0 +1,16 @@
+#include "core/relay/Route.h"
+#include <algorithm>
+#include <cmath>
+
+namespace quetzallead {
+
+std::size_t neededParts(const Route &R) {
+  if (R.Target != RouteTarget::Survey)
+    return 1;
+  // The epsilon keeps rounding errors from raising 0.9 * 10 to 10.
+  const double Needed =
+      R.MinCoverage * static_cast<double>(R.Services.size()) - 1e-9;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(Needed)));
+}
+
+} // namespace quetzallead
--- a/src/core/relay/Route.h
+++ b/src/core/relay/Route.h
@@ -47,6 +47,9 @@
   std::size_t MaxRecords = 0;
 };
 
+/// Number of parts that a successful response to a request on \p R needs.
+std::size_t neededParts(const Route &R);
+
 } // namespace quetzallead
 
 #endif // QUETZALLEAD_CORE_RELAY_ROUTE_H
--- a/src/relay/AttemptCodec.h
+++ b/src/relay/AttemptCodec.h
@@ -28,7 +28,8 @@
 struct AttemptCodec {
   std::function<std::string(const ForwardedRequest &, const AttemptToEncode &)>
       Encode;
-  std::function<AttemptEnd(const ForwardedRequest &,
+  std::function<AttemptEnd(const std::shared_ptr<PoolServer> &,
+                           const ForwardedRequest &,
                            const HttpExchangeResult &)>
       Decode;
   /// Called with the head of each response, also if the attempt is late, has
--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -15,6 +15,9 @@
 /// after each failure. A restarting server is back within a second or two.
 static constexpr Duration MinReconnectDelay = absl::Milliseconds(100);
 static constexpr Duration MaxReconnectDelay = absl::Seconds(1);
+/// Largest share of the delay that is random, so that the servers of an
+/// instance that has lost all of them are not reconnected to at once.
+static constexpr double ReconnectJitter = 0.25;
 
 BackendClient::BackendClient(boost::asio::io_context &GivenLoop,
                              LoopTimers &GivenTimers)
@@ -42,7 +45,17 @@
               {"zone", S.Info.Zone},
               {"reason", Reason},
               {"in_flight", S.inFlight()}});
+  if (S.Unreachable)
+    return;
   S.Unreachable = true;
+  S.UnreachableSince = LoopTimers::now();
+  if (!S.Info.IsInstance && Observer.OnUnreachable)
+    Observer.OnUnreachable();
+}
+
+void BackendClient::onHeard(const ServerEntry &Entry) {
+  if (!Entry.Server->Info.IsInstance && Observer.OnHeard)
+    Observer.OnHeard();
 }
 
 void BackendClient::markReachable(ServerEntry &Entry) {
@@ -51,6 +64,26 @@
     logEvent(LogLevel::Info, "server_reachable",
              {{"server", S.Info.Id}, {"service", S.Info.Service}});
   S.Unreachable = false;
+  S.OutOfReach = false;
+}
+
+void BackendClient::closeOlderConnections(ServerEntry &Entry,
+                                          const HttpConnection *New) {
+  std::vector<std::shared_ptr<HttpConnection>> Idle;
+  for (const auto &C : Entry.Connections)
+    if (C->ready() && !C->busy() && C.get() != New)
+      Idle.push_back(C);
+  for (const auto &C : Idle)
+    C->close();
+}
+
+void BackendClient::markOutOfReach(const ServerRef &Server) {
+  ServerEntry &Entry = entryFor(Server);
+  // One log line tells of all servers that are marked together.
+  Server->Unreachable = true;
+  Server->UnreachableSince = LoopTimers::now();
+  Server->OutOfReach = true;
+  scheduleReconnect(Entry);
 }
 
 std::shared_ptr<HttpConnection>
@@ -59,17 +92,20 @@
       Loop, Timers, Entry.Server->Info.Address, HttpConnectionLimits());
   const PoolServer *Key = Entry.Server.get();
   const HttpConnection *Raw = C.get();
-  C->OnReady = [this, Key] {
+  C->OnReady = [this, Key, Raw] {
     auto It = Entries.find(Key);
     if (It == Entries.end())
       return;
     It->second.ReconnectDelay = absl::ZeroDuration();
+    if (It->second.Server->Unreachable)
+      closeOlderConnections(It->second, Raw);
     markReachable(It->second);
     updateIdleCount(It->second);
+    onHeard(It->second);
     finishAliveChecks(It->second, true);
   };
-  C->OnClosed = [this, Key, Raw](bool WasConnected) {
-    onClosed(Key, Raw, WasConnected);
+  C->OnClosed = [this, Key, Raw](ConnectionEnd End) {
+    onClosed(Key, Raw, End);
   };
   Entry.Connections.push_back(C);
   return C;
@@ -107,6 +143,8 @@
     C = openConnection(Entry);
   const PoolServer *Key = Server.get();
   const TimePoint SentAt = LoopTimers::now();
+  if (!Server->Info.IsInstance && Observer.OnSent)
+    Observer.OnSent();
   C->exchange(std::move(Request), [this, Key, SentAt, Done = std::move(Done)](
                                       HttpExchangeResult End) {
     onExchangeEnd(Key, End.Result, LoopTimers::now() - SentAt);
@@ -132,6 +170,8 @@
     Entry.ReconnectDelay = absl::ZeroDuration();
   }
   updateIdleCount(Entry);
+  if (Result == AttemptResult::Answered || Result == AttemptResult::BadReply)
+    onHeard(Entry);
 }
 
 void BackendClient::preconnect(const ServerRef &Server) {
@@ -156,7 +196,7 @@
 }
 
 void BackendClient::onClosed(const PoolServer *Key,
-                             const HttpConnection *Closed, bool WasConnected) {
+                             const HttpConnection *Closed, ConnectionEnd End) {
   auto It = Entries.find(Key);
   if (It == Entries.end())
     return;
@@ -170,11 +210,16 @@
     Entries.erase(It);
     return;
   }
-  if (WasConnected)
+  if (End == ConnectionEnd::Closed)
     return;
-  markUnreachable(Entry, "no_connection");
+  if (End == ConnectionEnd::NotEstablished)
+    Entry.Server->OutOfReach = true;
+  markUnreachable(Entry, End == ConnectionEnd::NotEstablished
+                             ? "no_connection"
+                             : "silent_connection");
   scheduleReconnect(Entry);
-  finishAliveChecks(Entry, false);
+  if (End == ConnectionEnd::NotEstablished)
+    finishAliveChecks(Entry, false);
 }
 
 void BackendClient::scheduleReconnect(ServerEntry &Entry) {
@@ -183,8 +228,11 @@
   Entry.ReconnectDelay = std::clamp(Entry.ReconnectDelay * 2, MinReconnectDelay,
                                     MaxReconnectDelay);
   const PoolServer *Key = Entry.Server.get();
+  const double Jitter =
+      ReconnectJitter * static_cast<double>(Engine()) / 4294967296.0;
   Entry.ReconnectTimer = Timers.at(
-      LoopTimers::now() + Entry.ReconnectDelay, [this, Key](TimePoint) {
+      LoopTimers::now() + Entry.ReconnectDelay * (1 - Jitter),
+      [this, Key](TimePoint) {
         auto It = Entries.find(Key);
         if (It == Entries.end())
           return;
@@ -192,10 +240,14 @@
         Current.ReconnectTimer.reset();
         if (!Current.Server->AcceptsAttempts || !Current.Server->Unreachable)
           return;
-        if (Current.Connections.empty())
-          openConnection(Current)->connect();
+        // Connections that are open tell nothing: they may be silent.
+        const bool Connecting =
+            std::any_of(Current.Connections.begin(), Current.Connections.end(),
+                        [](const auto &C) { return C->open() && !C->ready(); });
+        if (Connecting)
+          scheduleReconnect(Current);
         else
-          markReachable(Current);
+          openConnection(Current)->connect();
       });
 }
 
--- a/src/relay/BackendClient.h
+++ b/src/relay/BackendClient.h
@@ -7,10 +7,22 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <pcg_random.hpp>
 #include <vector>
 
 namespace quetzallead {
 
+/// Told what the connections to backend servers show; those to instances of
+/// this tier are left out. Each may be empty.
+struct BackendObserver {
+  /// An attempt has been sent.
+  std::function<void()> OnSent;
+  /// A server has responded or has accepted a connection.
+  std::function<void()> OnHeard;
+  /// A server has been marked unreachable.
+  std::function<void()> OnUnreachable;
+};
+
 /// Keep-alive connections to backend servers. A connection belongs to one
 /// incarnation of a server and carries one request at a time; idle connections
 /// are reused before new ones are opened. The pools' in-flight limits bound the
@@ -30,9 +42,14 @@
   /// Tells \p Done whether \p Server takes a new connection. Not called if the
   /// server is removed meanwhile.
   void checkAlive(const ServerRef &Server, std::function<void(bool)> Done);
+  /// Marks \p Server as out of reach until a new connection is established,
+  /// which is tried in the background.
+  void markOutOfReach(const ServerRef &Server);
   /// Closes idle connections to servers that are no longer present.
   void closeRemovedServers();
 
+  BackendObserver Observer;
+
 private:
   struct ServerEntry {
     ServerRef Server;
@@ -48,18 +65,24 @@
   std::shared_ptr<HttpConnection> selectConnection(ServerEntry &Entry,
                                                    TimePoint Now);
   static void updateIdleCount(ServerEntry &Entry);
-  static void markUnreachable(ServerEntry &Entry, absl::string_view Reason);
+  void markUnreachable(ServerEntry &Entry, absl::string_view Reason);
   static void markReachable(ServerEntry &Entry);
+  void onHeard(const ServerEntry &Entry);
+  /// Closes the idle connections to a server that was unreachable, except the
+  /// new one: the others may be silent still.
+  static void closeOlderConnections(ServerEntry &Entry,
+                                    const HttpConnection *New);
   static void finishAliveChecks(ServerEntry &Entry, bool Alive);
   void onExchangeEnd(const PoolServer *Key, AttemptResult Result,
                      Duration Elapsed);
   void onClosed(const PoolServer *Key, const HttpConnection *Closed,
-                bool WasConnected);
+                ConnectionEnd End);
   void scheduleReconnect(ServerEntry &Entry);
 
   boost::asio::io_context &Loop;
   LoopTimers &Timers;
   std::map<const PoolServer *, ServerEntry> Entries;
+  pcg32 Engine;
 };
 
 } // namespace quetzallead
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -44,7 +44,7 @@
     return;
   }
   Stage = ConnectionStage::Open;
-  WasConnected = true;
+  End = ConnectionEnd::Closed;
   IdleSince = LoopTimers::now();
   setSocketOptions(Socket, Limits.UnackedTimeout, Limits.KeepAliveInterval);
   if (Done != nullptr)
@@ -118,22 +118,31 @@
                            if (Self->Stage != ConnectionStage::Open)
                              return;
                            if (EC)
-                             Self->onReadEnd(EC == asio::error::eof);
+                             Self->onReadEnd(EC);
                            else
                              Self->onBytes(Count);
                          });
 }
 
-void HttpConnection::onReadEnd(bool AtEof) {
+/// True for the errors by which the kernel gives up on a silent peer.
+static bool isSilence(const error_code &EC) {
+  return EC == asio::error::timed_out || EC == asio::error::host_unreachable ||
+         EC == asio::error::network_unreachable;
+}
+
+void HttpConnection::onReadEnd(const error_code &EC) {
+  if (isSilence(EC))
+    End = ConnectionEnd::Silent;
   if (Done == nullptr) {
     fail(AttemptResult::Lost);
     return;
   }
-  if (AtEof && ResponseParser->is_header_done() && !ResponseParser->is_done()) {
+  if (EC == asio::error::eof && ResponseParser->is_header_done() &&
+      !ResponseParser->is_done()) {
     // A response without a length is delimited by the close.
-    error_code EC;
-    ResponseParser->put_eof(EC);
-    if (!EC && ResponseParser->is_done()) {
+    error_code Fault;
+    ResponseParser->put_eof(Fault);
+    if (!Fault && ResponseParser->is_done()) {
       complete(false);
       return;
     }
@@ -245,18 +254,19 @@
     return;
   }
   Timer.reset();
-  HttpExchangeResult End;
-  End.Result = AttemptResult::Answered;
-  End.Response = std::make_shared<HttpResponse>(ResponseParser->release());
+  HttpExchangeResult ExchangeEnd;
+  ExchangeEnd.Result = AttemptResult::Answered;
+  ExchangeEnd.Response =
+      std::make_shared<HttpResponse>(ResponseParser->release());
   HttpExchangeCallback Callback = std::move(Done);
   Done = nullptr;
   IdleSince = LoopTimers::now();
-  const auto KeepAliveTimeout = parseKeepAliveTimeout(*End.Response);
+  const auto KeepAliveTimeout = parseKeepAliveTimeout(*ExchangeEnd.Response);
   IdleExpiry =
       KeepAliveTimeout ? IdleSince + *KeepAliveTimeout : absl::InfiniteFuture();
   if (!Reusable)
     close();
-  Callback(std::move(End));
+  Callback(std::move(ExchangeEnd));
 }
 
 void HttpConnection::fail(AttemptResult Result) {
@@ -269,16 +279,16 @@
   Socket.close(IgnoredEC);
   HttpExchangeCallback Callback = std::move(Done);
   Done = nullptr;
-  std::function<void(bool)> Closed = std::move(OnClosed);
+  std::function<void(ConnectionEnd)> Closed = std::move(OnClosed);
   OnClosed = nullptr;
   OnReady = nullptr;
   if (Callback) {
-    HttpExchangeResult End;
-    End.Result = Result;
-    Callback(std::move(End));
+    HttpExchangeResult ExchangeEnd;
+    ExchangeEnd.Result = Result;
+    Callback(std::move(ExchangeEnd));
   }
   if (Closed)
-    Closed(WasConnected);
+    Closed(End);
 }
 
 void HttpConnection::sendMessage(absl::string_view Bytes) {
--- a/src/relay/HttpConnection.h
+++ b/src/relay/HttpConnection.h
@@ -20,12 +20,20 @@
   /// The connection is closed when sent data stays unacknowledged this long.
   Duration UnackedTimeout = absl::Seconds(2);
   /// Idle time before the first TCP keep-alive probe, and the interval between
-  /// probes. The connection is closed after two unanswered probes.
+  /// probes. The connection is closed at the first probe that is due
+  /// UnackedTimeout after the peer was heard from.
   Duration KeepAliveInterval = absl::Seconds(1);
   std::size_t HeaderBytes = std::size_t{64} << 10;
   std::uint64_t BodyBytes = std::uint64_t{64} << 20;
 };
 
+/// How a connection has ended.
+enum class ConnectionEnd {
+  NotEstablished,
+  Closed, ///< By either end, or reset.
+  Silent, ///< The peer acknowledged nothing any more.
+};
+
 /// A client connection to an HTTP/1.1 server that carries one exchange at a
 /// time. Requests are never resent. A read is always pending, so that a close
 /// by the peer and bytes that belong to no exchange are detected at once; both
@@ -53,9 +61,8 @@
   TimePoint idleSince() const { return IdleSince; }
   /// When the peer closes the connection if it stays idle; infinite if unknown.
   TimePoint idleExpiry() const { return IdleExpiry; }
-  /// Called once when the connection has closed; \p WasConnected tells whether
-  /// it was ever established.
-  std::function<void(bool WasConnected)> OnClosed;
+  /// Called once when the connection has closed.
+  std::function<void(ConnectionEnd)> OnClosed;
   /// Called when the connection is established and no exchange is queued.
   std::function<void()> OnReady;
 
@@ -70,7 +77,7 @@
   void resetParser();
   void read();
   void onBytes(std::size_t Count);
-  void onReadEnd(bool AtEof);
+  void onReadEnd(const boost::system::error_code &EC);
   /// Passes the head of a final response to OnHead once it is complete.
   void reportHead();
   /// Feeds \p Bytes to the parser; completes the exchange with the response.
@@ -87,7 +94,7 @@
   ConnectionStage Stage = ConnectionStage::New;
   HttpExchange Current;
   HttpExchangeCallback Done;
-  bool WasConnected = false;
+  ConnectionEnd End = ConnectionEnd::NotEstablished;
   /// True while the bytes of Current are being written.
   bool Writing = false;
   bool AnyBytesSent = false;
--- a/src/relay/LinkMessages.cpp
+++ b/src/relay/LinkMessages.cpp
@@ -174,7 +174,9 @@
       "sheet=", Info.SheetVersion,
       ";store_lost=", static_cast<int>(Info.StoreLost),
       ";sharers=", Info.Sharers, ";crash_digest=", Info.CrashDigest,
-      ";elsewhere=", static_cast<int>(Info.TryElsewhere));
+      ";elsewhere=", static_cast<int>(Info.TryElsewhere),
+      ";servers_lost=", static_cast<int>(Info.ServersLost),
+      ";abandoned=", static_cast<int>(Info.Abandoned));
   const std::size_t HeadEnd = Response.find("\r\n\r\n") + 4;
   const std::string Code =
       sign(Secret, {Fields, RequestId, statusCode(Response),
@@ -213,6 +215,8 @@
   Out.Sharers =
       static_cast<int>(std::min<std::uint64_t>(Number("sharers"), MaxSharers));
   Out.TryElsewhere = Number("elsewhere") != 0;
+  Out.ServersLost = Number("servers_lost") != 0;
+  Out.Abandoned = Number("abandoned") != 0;
   return Out;
 }
 
--- a/src/relay/LinkMessages.h
+++ b/src/relay/LinkMessages.h
@@ -58,6 +58,11 @@
   std::uint64_t CrashDigest = 0;
   /// The home has not run the request and never will; another one may.
   bool TryElsewhere = false;
+  /// The home has lost the backend servers.
+  bool ServersLost = false;
+  /// The home may have run the request and can get no response: what may be
+  /// repeated can go to another one.
+  bool Abandoned = false;
 };
 
 /// Encodes a request to a home with a message authentication code under
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -107,7 +107,8 @@
       Environment(std::move(GivenEnvironment)), Loop(1), Timers(Loop),
       State(stateOptions(Settings)), Metrics(Settings.Instance, Settings.Zone),
       Feed(Settings.ReturnTime, vanishedServerReturnTime(Settings)),
-      Backends(Loop, Timers), Crashes(Backends, Suspects, Environment.Headers),
+      Backends(Loop, Timers), Servers(State, Backends, Timers, Metrics),
+      Crashes(Backends, Suspects, Environment.Headers),
       Store(Environment.MakeStore(Loop, Timers, Settings.StoreAddress,
                                   Settings.StoreTimeout)),
       CallerListener(Loop), ReadinessListener(Loop), MetricsListener(Loop),
@@ -117,7 +118,7 @@
     return encodeAttempt(Call, Environment.Headers, Attempt.Server.Info.Id,
                          Attempt.TimeLeft);
   };
-  BackendCodec.Decode = [this](const ForwardedRequest &,
+  BackendCodec.Decode = [this](const ServerRef &, const ForwardedRequest &,
                                const HttpExchangeResult &End) {
     return decodeExchangeResult(End, Environment.Headers);
   };
@@ -156,6 +157,7 @@
     return !Suspects.empty() &&
            Suspects.suspects(Fingerprint(Call), LoopTimers::now());
   };
+  Servers.OnLost = [this] { onServersLost(); };
   Crashes.OnChanged = [this] {
     logEvent(LogLevel::Info, "crash_reports_received",
              {{"blocked", Suspects.blockedCount(LoopTimers::now())}});
@@ -181,7 +183,7 @@
   LinkCodec.EncodeGrant = [this](const ForwardedRequest &Call) {
     return encodeAttemptGrant(Call, Environment.Headers, LinkSecret);
   };
-  LinkCodec.Decode = [this](const ForwardedRequest &Call,
+  LinkCodec.Decode = [this](const ServerRef &From, const ForwardedRequest &Call,
                             const HttpExchangeResult &End) {
     if (End.Result != AttemptResult::Answered)
       return decodeExchangeResult(End, Environment.Headers);
@@ -192,9 +194,9 @@
       Out.Result = AttemptResult::BadReply;
       return Out;
     }
-    noteHome(*Info);
-    if (Info->TryElsewhere) {
-      Out.Result = AttemptResult::Shed;
+    noteHome(From, *Info);
+    if (Info->TryElsewhere || Info->Abandoned) {
+      Out.Result = Info->Abandoned ? AttemptResult::Lost : AttemptResult::Shed;
       return Out;
     }
     Out.Result = AttemptResult::Answered;
@@ -472,7 +474,7 @@
 }
 
 bool RelayDaemon::servesItself() const {
-  return !State.hasReachableHome(LoopTimers::now()) || LinkSecret.empty() ||
+  return !State.hasReachableHome() || LinkSecret.empty() ||
          (Home && !Contact.handsOver(LoopTimers::now()));
 }
 
@@ -529,7 +531,7 @@
         adoptFetched(End.Response->body()))
       Contact.onSheetFromHome(LoopTimers::now());
     if (Info) {
-      noteHome(*Info);
+      noteHome(Asked, *Info);
       if (Info->CrashDigest != Suspects.digest())
         Crashes.exchangeWith(Asked, LinkSecret);
     }
@@ -569,7 +571,9 @@
   Contact.onSheetFromStore();
 }
 
-void RelayDaemon::noteHome(const LinkResponseInfo &Info) {
+void RelayDaemon::noteHome(const ServerRef &From,
+                           const LinkResponseInfo &Info) {
+  RelayState::noteHome(From, Info.ServersLost, LoopTimers::now());
   if (!Info.StoreLost && Info.SheetVersion != 0)
     Contact.onHomeInContact(LoopTimers::now());
   if (Info.Sharers > 0)
@@ -785,15 +789,15 @@
 }
 
 void RelayDaemon::respond(CallerSession &Caller, const std::string &RequestId,
-                          std::string Bytes, bool KeepOpen, bool TryElsewhere) {
+                          std::string Bytes, bool KeepOpen,
+                          LinkResponseInfo Info) {
   if (Caller.uses(LinkHandlers)) {
-    LinkResponseInfo Info;
     Info.SheetVersion =
         State.table() != nullptr ? State.table()->sheet().Version : 0;
     Info.StoreLost = Active && Contact.lost(LoopTimers::now());
     Info.CrashDigest = Suspects.digest();
     Info.Sharers = State.sharing().count(LoopTimers::now());
-    Info.TryElsewhere = TryElsewhere;
+    Info.ServersLost = Active && Servers.lost();
     Bytes = addLinkHeader(std::move(Bytes), RequestId, Info, LinkSecret);
   }
   Caller.respond(std::move(Bytes), KeepOpen);
@@ -871,15 +875,86 @@
   serve(Caller, std::move(Call), LinkRequestInfo());
 }
 
+HandOverQuestion
+RelayDaemon::handOverQuestion(const CallerSession &Caller, const Route &Matched,
+                              const LinkRequestInfo &Info) const {
+  const TimePoint Now = LoopTimers::now();
+  HandOverQuestion Question;
+  Question.FromInstance = Caller.uses(LinkHandlers);
+  // A suspicion is no reason to pass on what another instance passes on.
+  Question.ServersLost =
+      Question.FromInstance ? Servers.lost() : Servers.avoidsServers();
+  Question.OutOfReach = State.outOfReach(Matched);
+  Question.HandedOver = Info.PassedBack;
+  Question.HomeAvailable = !LinkSecret.empty() && State.hasHomeWithServers(Now);
+  Question.KnownUnservable = Servers.isUnservable(Matched.Name, Now);
+  return Question;
+}
+
+HandOverQuestion
+RelayDaemon::handOverQuestion(const CallerSession &Caller,
+                              const RelayRequest &Failed) const {
+  LinkRequestInfo Info;
+  Info.PassedBack = Failed.plan().HandedOver;
+  HandOverQuestion Question =
+      handOverQuestion(Caller, *Failed.plan().MatchedRoute, Info);
+  Question.ServersLost = Servers.lost();
+  Question.OutOfReach = Failed.lacksServers();
+  Question.Begun = Failed.begun();
+  Question.MayBeRepeated = Failed.mayBeRepeated();
+  return Question;
+}
+
+bool RelayDaemon::handOver(const std::shared_ptr<CallerSession> &Caller,
+                           const ForwardedRequest &Call,
+                           const std::string &RouteName,
+                           const HandOverQuestion &Question) {
+  const HandOver Choice = chooseHandOver(Question);
+  if (Choice == HandOver::None)
+    return false;
+  logEvent(LogLevel::Info, "request_handed_over",
+           {{"request", Call.RequestId},
+            {"route", RouteName},
+            {"choice", nameOf(HandOverNames, Choice)},
+            {"cause", Question.ServersLost ? "servers_lost" : "out_of_reach"},
+            {"begun", Question.Begun}});
+  if (Choice == HandOver::PassBack) {
+    rejectLinkRequest(*Caller, Call.RequestId, "no servers in reach");
+    return true;
+  }
+  if (Choice == HandOver::Abandon) {
+    const bool KeepOpen = Caller->mayKeepOpen();
+    LinkResponseInfo Info;
+    Info.Abandoned = true;
+    respond(*Caller, Call.RequestId,
+            encodeStatusResponse(502, absl::ZeroDuration(), KeepOpen), KeepOpen,
+            Info);
+    return true;
+  }
+  Metrics.requestHandedOver(Question.Begun);
+  forward(Caller, Call, Question.Begun);
+  return true;
+}
+
+void RelayDaemon::onServersLost() {
+  std::vector<std::shared_ptr<RelaySession>> Sessions;
+  for (const auto &[Caller, Session] : ActiveRequests)
+    Sessions.push_back(Session);
+  for (const auto &Session : Sessions)
+    Session->onServersLost();
+}
+
 void RelayDaemon::rejectLinkRequest(CallerSession &Asker,
                                     const std::string &RequestId,
                                     absl::string_view Reason) {
   logEvent(LogLevel::Info, "link_request_passed_back",
            {{"request", RequestId}, {"reason", Reason}});
   const bool KeepOpen = Asker.mayKeepOpen();
+  LinkResponseInfo Info;
+  Info.TryElsewhere = true;
   respond(Asker, RequestId,
           encodeStatusResponse(503, ShutdownRetryAfter, KeepOpen), KeepOpen,
-          true);
+          Info);
 }
 
 void RelayDaemon::onLinkRequest(const std::shared_ptr<CallerSession> &Asker,
@@ -980,7 +1055,7 @@
 }
 
 void RelayDaemon::forward(const std::shared_ptr<CallerSession> &Caller,
-                          ForwardedRequest Call) {
+                          ForwardedRequest Call, bool Repeated) {
   const std::shared_ptr<const RouteTable> Table = State.table();
   const Route *MatchedRoute =
       Table != nullptr ? Table->find(Call.Host, Call.Target) : nullptr;
@@ -989,6 +1064,7 @@
   RelayPlan Plan = State.planForward(
       MatchedRoute, Call.ArrivalTime,
       Call.RemainingTime.value_or(Timeout + LinkTimeoutMargin));
+  Plan.Repeated = Repeated;
   startSession(Caller,
                RelaySessionContext{Backends, Timers, Metrics, LinkCodec,
                                    Environment.Headers.RequestId},
@@ -1009,6 +1085,9 @@
     reject(*Caller, Call, RejectReason::NoRoute, Now);
     return;
   }
+  if (handOver(Caller, Call, MatchedRoute->Name,
+               handOverQuestion(*Caller, *MatchedRoute, Info)))
+    return;
   if (!Suspects.empty())
     Call.Fingerprint = requestFingerprint(Call);
   if (BackendCodec.IsBlocked(Call)) {
@@ -1019,6 +1098,7 @@
       *MatchedRoute, Call.ArrivalTime,
       Call.RemainingTime.value_or(MatchedRoute->Timeout), Call.TransitTime);
   Plan.Repeated = Info.Repeated;
+  Plan.HandedOver = Info.PassedBack;
   Plan.LastAttemptHeldBack = Info.LastAttemptHeldBack;
   startSession(Caller,
                RelaySessionContext{Backends, Timers, Metrics, BackendCodec,
@@ -1050,12 +1130,21 @@
         // itself.
         const bool NotRun = Verdict.Outcome == RelayOutcome::Rejected ||
                             Verdict.Outcome == RelayOutcome::Unservable;
-        if (NotRun && canServe() &&
-            Finished->request().plan().MatchedRoute->Target ==
-                RouteTarget::Home) {
-          serve(Open, Finished->call(), LinkRequestInfo());
+        const Route &Matched = *Finished->request().plan().MatchedRoute;
+        const bool Forwarded = Matched.Target == RouteTarget::Home;
+        if (NotRun && canServe() && Forwarded) {
+          if (!Servers.avoidsServers())
+            Servers.noteUnservable(Matched.Name, LoopTimers::now());
+          LinkRequestInfo Info;
+          Info.PassedBack = true;
+          serve(Open, Finished->call(), Info);
           return;
         }
+        const bool Failed = NotRun || Verdict.Outcome == RelayOutcome::Failed;
+        if (Failed && !Forwarded &&
+            handOver(Open, Finished->call(), Matched.Name,
+                     handOverQuestion(*Open, Finished->request())))
+          return;
         onResult(*Open, *Finished, Verdict);
       });
   Session->OnClaim = [this, WeakCaller, Id = Session->call().RequestId] {
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_RELAY_RELAYDAEMON_H
 #define QUETZALLEAD_RELAY_RELAYDAEMON_H
 
+#include "core/relay/HandOver.h"
 #include "core/relay/RelayState.h"
 #include "core/relay/SheetHistory.h"
 #include "core/relay/StoreContact.h"
@@ -16,6 +17,7 @@
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySession.h"
 #include "relay/RelaySettings.h"
+#include "relay/ServerContactMonitor.h"
 #include "relay/StopPlan.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -80,9 +82,24 @@
   /// Serves a request from this instance, which must be ready to.
   void serve(const std::shared_ptr<CallerSession> &Caller,
              ForwardedRequest Call, const LinkRequestInfo &Info);
-  /// Forwards a request of a caller to a home.
+  /// Forwards a request of a caller to a home. \p Repeated tells that this
+  /// instance may have run it.
   void forward(const std::shared_ptr<CallerSession> &Caller,
-               ForwardedRequest Call);
+               ForwardedRequest Call, bool Repeated = false);
+  /// Describes a request on \p Matched, which this instance has not begun.
+  HandOverQuestion handOverQuestion(const CallerSession &Caller,
+                                    const Route &Matched,
+                                    const LinkRequestInfo &Info) const;
+  /// Describes a request that has failed here.
+  HandOverQuestion handOverQuestion(const CallerSession &Caller,
+                                    const RelayRequest &Failed) const;
+  /// Hands a request over that \p Question describes; returns false if it ends
+  /// here.
+  bool handOver(const std::shared_ptr<CallerSession> &Caller,
+                const ForwardedRequest &Call, const std::string &RouteName,
+                const HandOverQuestion &Question);
+  /// Gives up the requests in flight at backend servers that are lost.
+  void onServersLost();
   /// Performs \p Plan and responds to the caller with its result.
   void startSession(const std::shared_ptr<CallerSession> &Caller,
                     RelaySessionContext Context, ForwardedRequest Call,
@@ -116,14 +133,15 @@
   bool adoptFetched(const std::string &Body);
   /// Puts \p Text into force if it is a newer sheet; tells whether it was.
   bool adoptSheet(absl::string_view Text, std::uint64_t Revision);
-  /// Records what a home says of itself.
-  void noteHome(const LinkResponseInfo &Info);
+  /// Records what \p From says of itself.
+  void noteHome(const ServerRef &From, const LinkResponseInfo &Info);
   void noteSheetVersion(std::uint64_t Version);
   /// Whether a newer sheet is known to exist, or none has been read.
   bool sheetBehind() const;
-  /// Sends an encoded response to a caller or to an asking instance.
+  /// Sends an encoded response to a caller or to an asking instance. The latter
+  /// is told what \p Info says of the request, and the state of this instance.
   void respond(CallerSession &Caller, const std::string &RequestId,
-               std::string Bytes, bool KeepOpen, bool TryElsewhere = false);
+               std::string Bytes, bool KeepOpen, LinkResponseInfo Info = {});
   void onReadiness(const std::shared_ptr<CallerSession> &Prober);
   void onScrape(const std::shared_ptr<CallerSession> &Scraper);
   RelaySnapshot snapshot(TimePoint Now) const;
@@ -156,6 +174,7 @@
   RelayMetrics Metrics;
   ServerFeed Feed;
   BackendClient Backends;
+  ServerContactMonitor Servers;
   CrashSuspects Suspects;
   CrashExchange Crashes;
   std::unique_ptr<RevisionedStore> Store;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -98,6 +98,14 @@
   void serverPaused() { PauseCount.Increment(); }
   void serverLimited() { LimitCount.Increment(); }
   void serverEnded() { EndCount.Increment(); }
+  void serversLost() {
+    ServersLost.Set(1);
+    LossCount.Increment();
+  }
+  void serversRegained() { ServersLost.Set(0); }
+  void requestHandedOver(bool Begun) {
+    HandedOver.Add({{"begun", Begun ? "1" : "0"}}).Increment();
+  }
   void loopStepLong(LoopTask Task) {
     LongSteps.Add({{"task", std::string(nameOf(LoopTaskNames, Task))}})
         .Increment();
@@ -181,6 +189,18 @@
       counterFamily("quetzallead_server_ends_total",
                     "Ends of backend servers under a request, by request.")
           .Add({});
+  Counter &LossCount =
+      counterFamily("quetzallead_servers_losses_total",
+                    "Times that the instance has lost all backend servers.")
+          .Add({});
+  Family<Counter> &HandedOver = counterFamily(
+      "quetzallead_handed_over_requests_total",
+      "Requests of callers that went to a home because the instance lacks "
+      "servers, by whether a server may have got them before.");
+  Gauge &ServersLost =
+      gaugeFamily("quetzallead_servers_lost",
+                  "1 while the instance has lost all backend servers.")
+          .Add({});
   Family<Gauge> &Blocked = gaugeFamily(
       "quetzallead_blocked_requests",
       "Requests, by content, that are not sent to backend servers any more.");
@@ -334,6 +354,14 @@
 
 void RelayMetrics::serverEnded() { Impl->serverEnded(); }
 
+void RelayMetrics::serversLost() { Impl->serversLost(); }
+
+void RelayMetrics::serversRegained() { Impl->serversRegained(); }
+
+void RelayMetrics::requestHandedOver(bool Begun) {
+  Impl->requestHandedOver(Begun);
+}
+
 void RelayMetrics::attemptEnded(const std::string &Service, AttemptCause Cause,
                                 AttemptResult Result, Duration Elapsed) {
   Impl->attemptEnded(Service, Cause, Result, Elapsed);
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -37,6 +37,12 @@
   void serverLimited();
   /// A step of the event loop took longer than LoopSteps::MaxStep.
   void loopStepLong(LoopTask Task);
+  /// This instance has lost the backend servers, and is in contact again.
+  void serversLost();
+  void serversRegained();
+  /// A request of a caller was handed over to a home because this instance
+  /// lacks servers; \p Begun tells whether it had sent it to a server before.
+  void requestHandedOver(bool Begun);
   /// A backend server has ended while it ran a request.
   void serverEnded();
   /// All metrics in the text format of Prometheus. The gauges are set
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -51,6 +51,14 @@
   updateTimer();
 }
 
+void RelaySession::onServersLost() {
+  auto KeepAlive = shared_from_this();
+  RelayActions Actions;
+  Request.onServersLost(LoopTimers::now(), Actions);
+  perform(std::move(Actions));
+  updateTimer();
+}
+
 void RelaySession::onGranted() {
   RelayActions Actions;
   Request.onGranted(LoopTimers::now(), Actions);
@@ -131,7 +139,8 @@
                                 const HttpExchangeResult &ExchangeEnd) {
   Connections[Attempt] = nullptr;
   const TimePoint Now = LoopTimers::now();
-  const AttemptEnd End = Context.Codec.Decode(Call, ExchangeEnd);
+  const AttemptEnd End =
+      Context.Codec.Decode(Request.serverOf(Attempt), Call, ExchangeEnd);
   Context.Metrics.attemptEnded(Request.serviceOf(Attempt),
                                Request.causeOf(Attempt), End.Result,
                                Now - Request.sentAt(Attempt));
--- a/src/relay/RelaySession.h
+++ b/src/relay/RelaySession.h
@@ -28,6 +28,8 @@
   void start();
   /// Cancels the request, since its caller has disconnected.
   void onCallerDisconnected();
+  /// This instance has lost the backend servers.
+  void onServersLost();
   /// The asking instance has granted the attempts that it held back.
   void onGranted();
   /// Called when the request needs an attempt that the asking instance holds
--- a/tests/relay/LateAcknowledgementTest.cpp
+++ b/tests/relay/LateAcknowledgementTest.cpp
@@ -98,7 +98,8 @@
   Codec.Encode = [](const ForwardedRequest &, const AttemptToEncode &) {
     return std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
   };
-  Codec.Decode = [&](const ForwardedRequest &, const HttpExchangeResult &End) {
+  Codec.Decode = [&](const ServerRef &, const ForwardedRequest &,
+                     const HttpExchangeResult &End) {
     return decodeExchangeResult(End, Names);
   };
   RelayStateOptions Options;
