--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -89,7 +89,8 @@
 
 bool BackendPool::eligible(const PoolServer &S,
                            const AttemptPermitRequest &Request, TimePoint Now) {
-  if (!S.AcceptsAttempts || !permitsAttempt(S.Pause, Now))
+  if (!S.AcceptsAttempts || !permitsAttempt(S.Pause, Now) ||
+      (S.Unreachable && !Request.AllowUnreachable))
     return false;
   return std::none_of(Request.Excluded.begin(), Request.Excluded.end(),
                       [&](const ServerRef &E) { return E.get() == &S; });
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -39,6 +39,9 @@
   std::vector<ServerRef> Excluded;
   /// If false, only a healthy server with low load is chosen; used for hedges.
   bool AllowUnhealthy = true;
+  /// If false, servers that are marked unreachable are not chosen, not even as
+  /// a last resort.
+  bool AllowUnreachable = true;
   /// A server has ended while it had a request of this content.
   bool Suspected = false;
 };
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -271,6 +271,8 @@
   Request.ObjectiveDeadline = Plan.ObjectiveDeadline;
   Request.LatestStart = latestStart();
   Request.Excluded = P.TriedServers;
+  // An instance that reaches no home serves or rejects the request itself.
+  Request.AllowUnreachable = !isForwarded();
   Request.Suspected = suspected();
   return Request;
 }
--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -11,6 +11,9 @@
 /// this long; a shorter attempt may just have had little time left. Healthy
 /// servers pause for a small fraction of this time.
 static constexpr Duration UnresponsiveTimeout = absl::Milliseconds(400);
+/// Time limit for establishing a connection to another instance: a request that
+/// waits for it can go to the next home, or be rejected.
+static constexpr Duration InstanceConnectTimeout = absl::Milliseconds(200);
 /// Range of the delay before reconnecting to an unreachable server, doubled
 /// after each failure. A restarting server is back within a second or two.
 static constexpr Duration MinReconnectDelay = absl::Milliseconds(100);
@@ -88,8 +91,11 @@
 
 std::shared_ptr<HttpConnection>
 BackendClient::openConnection(ServerEntry &Entry) {
-  auto C = std::make_shared<HttpConnection>(
-      Loop, Timers, Entry.Server->Info.Address, HttpConnectionLimits());
+  HttpConnectionLimits Limits;
+  if (Entry.Server->Info.IsInstance)
+    Limits.ConnectTimeout = InstanceConnectTimeout;
+  auto C = std::make_shared<HttpConnection>(Loop, Timers,
+                                            Entry.Server->Info.Address, Limits);
   const PoolServer *Key = Entry.Server.get();
   const HttpConnection *Raw = C.get();
   C->OnReady = [this, Key, Raw] {
