relay: attempts from before a loss say nothing of the servers

Cause: attempts that hung until the loss was known counted as slow responses of their servers, and the route's mean response time rose; a route that is rejected gets no new samples. A loss now clears what was observed of each server, and attempts from before it are not counted.

BackendPoolTest.AttemptsBeforeALossCountedAgainstTheServers: red before (expected delay 451 ms where 20 ms are allowed), green after.

--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -404,9 +404,26 @@
                    [&](const PendingAttempt &P) { return P.Sent == Sent; });
   if (Found != Pending.end())
     Pending.erase(Found);
+  const bool SaidByServer =
+      provesNotRun(Report.Result) && Report.Result != AttemptResult::NotSent;
+  if (Sent <= Server->LostAt && !SaidByServer)
+    return;
   recordOutcome(*Server, Report, Stats, Now);
 }
 
+void BackendPool::markLost(const ServerRef &Server, TimePoint Now) {
+  PoolServer &S = *Server;
+  S.Unreachable = true;
+  S.UnreachableSince = Now;
+  S.OutOfReach = true;
+  S.LostAt = Now;
+  S.Slowness = 1;
+  S.SlowStreak = 0;
+  S.LossRate = 0;
+  S.Failures = 0;
+  S.EjectedUntil = absl::InfinitePast();
+}
+
 void BackendPool::eject(const ServerRef &Server, TimePoint Until) {
   Server->EjectedUntil = std::max(Server->EjectedUntil, Until);
 }
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -101,6 +101,10 @@
   /// Frees the slot of the attempt sent at \p Sent and records its outcome.
   void release(const ServerRef &Server, TimePoint Sent,
                const AttemptReport &Report, RouteStats &Stats, TimePoint Now);
+  /// Marks \p Server, which this instance has lost together with all others, as
+  /// out of reach. What it seemed to be before is forgotten, and what becomes
+  /// of attempts that were sent before says nothing of it.
+  static void markLost(const ServerRef &Server, TimePoint Now);
   /// Ejects \p Server at least until \p Until.
   static void eject(const ServerRef &Server, TimePoint Until);
   /// Grants free slots to queued requests. Call after release() and after
--- a/src/core/relay/PoolServer.h
+++ b/src/core/relay/PoolServer.h
@@ -57,6 +57,8 @@
   /// No connection could be established, or this instance has lost all servers.
   /// Implies Unreachable.
   bool OutOfReach = false;
+  /// When this instance lost all servers last.
+  TimePoint LostAt = absl::InfinitePast();
   /// Open connections without a request.
   int IdleConnections = 0;
 
--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -83,9 +83,7 @@
 void BackendClient::markOutOfReach(const ServerRef &Server) {
   ServerEntry &Entry = entryFor(Server);
   // One log line tells of all servers that are marked together.
-  Server->Unreachable = true;
-  Server->UnreachableSince = LoopTimers::now();
-  Server->OutOfReach = true;
+  BackendPool::markLost(Server, LoopTimers::now());
   scheduleReconnect(Entry);
 }
 
--- a/tests/relay/InstanceGraph.cpp
+++ b/tests/relay/InstanceGraph.cpp
@@ -239,8 +239,8 @@
 
 void InstanceGraph::lose(int I) {
   for (const ServerRef &Server : Instances[I]->State->listedServers()) {
-    Server->OutOfReach = true;
     markUnreachable(I, Server);
+    BackendPool::markLost(Server, Now);
   }
   const auto Current = Working;
   for (const auto &W : Current) {
