relay: an instance whose servers return helps others at once

An instance that hears from servers again now takes requests of others; only its own go elsewhere until the return has lasted. Silence during a return is a loss at once, so that its attempts do not count against the servers.

--- a/src/core/relay/ServerContact.cpp
+++ b/src/core/relay/ServerContact.cpp
@@ -49,10 +49,12 @@
 }
 
 void ServerContact::advance(const ServerContactSample &Sample, TimePoint Now) {
+  const bool AllSilent =
+      Sample.Listed > 0 && Now - HeardAt >= SuspiciousSilence &&
+      Sample.Silent >= std::min(MinSilentServers, Sample.Listed);
   switch (State) {
   case ContactState::InContact:
-    if (Sample.Listed > 0 && Now - HeardAt >= SuspiciousSilence &&
-        Sample.Silent >= std::min(MinSilentServers, Sample.Listed)) {
+    if (AllSilent) {
       State = ContactState::Suspected;
       SuspectedAt = Now;
     }
@@ -64,8 +66,10 @@
   case ContactState::Lost:
     return;
   case ContactState::Returning:
-    if (Now - ReturnedAt >= returnTime() &&
-        Sample.Unreachable * 2 <= Sample.Listed) {
+    if (AllSilent) {
+      lose(Now);
+    } else if (Now - ReturnedAt >= returnTime() &&
+               Sample.Unreachable * 2 <= Sample.Listed) {
       State = ContactState::InContact;
       RegainedAt = Now;
     } else if (Now - ReturnedAt >= MaxReturning) {
@@ -84,7 +88,7 @@
   case ContactState::Lost:
     break;
   case ContactState::Returning:
-    return std::max(Now + SuspiciousSilence, ReturnedAt + returnTime());
+    return Now + SuspiciousSilence;
   }
   return absl::InfiniteFuture();
 }
--- a/src/core/relay/ServerContact.h
+++ b/src/core/relay/ServerContact.h
@@ -21,7 +21,8 @@
   InContact,
   Suspected, ///< No server has been heard from for a while; probes are due.
   Lost,      ///< The probes have not been answered either.
-  Returning, ///< Servers are heard from again, since recently.
+  Returning, ///< Servers are heard from again, since recently. The instance
+             ///< serves others, who may know no better one.
 };
 
 inline constexpr NamedValue<ContactState> ContactStateNames[] = {
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -898,7 +898,8 @@
   Info.PassedBack = Failed.plan().HandedOver;
   HandOverQuestion Question =
       handOverQuestion(Caller, *Failed.plan().MatchedRoute, Info);
-  Question.ServersLost = Servers.lost();
+  Question.ServersLost =
+      Question.FromInstance ? Servers.lost() : Servers.lostOrReturning();
   Question.OutOfReach = Failed.lacksServers();
   Question.Begun = Failed.begun();
   Question.MayBeRepeated = Failed.mayBeRepeated();
--- a/src/relay/ServerContactMonitor.h
+++ b/src/relay/ServerContactMonitor.h
@@ -33,9 +33,11 @@
   bool avoidsServers() const {
     return Contact.state() != ContactState::InContact;
   }
-  /// The backend servers are lost, or have only just returned.
-  bool lost() const {
-    return avoidsServers() && Contact.state() != ContactState::Suspected;
+  /// The backend servers are lost: requests of other instances are passed back.
+  bool lost() const { return Contact.state() == ContactState::Lost; }
+  /// They are lost, or have only just returned.
+  bool lostOrReturning() const {
+    return lost() || Contact.state() == ContactState::Returning;
   }
 
   /// No home could take a request of \p Route, whose servers cannot be reached
--- a/tests/relay/InstanceGraph.cpp
+++ b/tests/relay/InstanceGraph.cpp
@@ -27,9 +27,9 @@
   /// By route: until when no home is asked.
   std::map<std::string, TimePoint> UnservableUntil;
 
-  bool lost() const {
-    return Contact.state() == ContactState::Lost ||
-           Contact.state() == ContactState::Returning;
+  bool lost() const { return Contact.state() == ContactState::Lost; }
+  bool lostOrReturning() const {
+    return lost() || Contact.state() == ContactState::Returning;
   }
 };
 
@@ -494,7 +494,8 @@
   }
   HandOverQuestion Question =
       question(W->At, C, W->Asking != nullptr, W->Request->plan().HandedOver);
-  Question.ServersLost = Self.lost();
+  Question.ServersLost =
+      W->Asking != nullptr ? Self.lost() : Self.lostOrReturning();
   Question.OutOfReach = W->Request->lacksServers();
   Question.Begun = W->Request->begun();
   Question.MayBeRepeated = W->Request->mayBeRepeated();
--- a/tests/relay/ServerContactTest.cpp
+++ b/tests/relay/ServerContactTest.cpp
@@ -98,6 +98,15 @@
   EXPECT_EQ(Contact.state(), ContactState::InContact);
 }
 
+TEST_F(ServerContactTest, SilenceDuringAReturnIsALossAtOnce) {
+  lose();
+  Contact.onHeard(Now);
+  advance(absl::Milliseconds(100), 0, 0);
+  Contact.onHeard(Now);
+  advance(absl::Milliseconds(60), 5, 5);
+  EXPECT_EQ(Contact.state(), ContactState::Lost);
+}
+
 TEST_F(ServerContactTest, ASingleServerThatAnswersIsNoReturn) {
   lose();
   Contact.onHeard(Now);
