--- a/tests/transport/PeerTransportTest.cpp
+++ b/tests/transport/PeerTransportTest.cpp
@@ -1,6 +1,7 @@
 #include "transport/peer/PeerTransport.h"
 #include "absl/strings/str_cat.h"
 #include "runtime/TimerService.h"
+#include "support/LiveSockets.h"
 #include "transport/Inbox.h"
 #include "transport/RawListener.h"
 #include "transport/peer/PeerCodec.h"
@@ -148,6 +149,21 @@
   EXPECT_EQ(AtB->Peer, (PeerIdentity{"a", "zone-1", 1, A.address()}));
 }
 
+// The pings of a link find a silent peer; a TCP_USER_TIMEOUT of the library's
+// own would end it at another time.
+TEST_F(PeerTransportTest, LibrarySetsNoUserTimeout) {
+  link();
+  int Ends = 0;
+  for (const LiveSocket &S : liveSockets()) {
+    if (S.LocalPort != B.Transport->port() && S.PeerPort != B.Transport->port())
+      continue;
+    ++Ends;
+    EXPECT_EQ(S.UserTimeoutMillis, 0);
+    EXPECT_FALSE(S.KeepAlive);
+  }
+  EXPECT_EQ(Ends, 2);
+}
+
 TEST_F(PeerTransportTest, CarriesFramesInOrderBothWays) {
   link();
   for (int I = 0; I < 200; ++I) {
