relay: silence counts from the first attempt after the last sign of a server

A quiet instance suspected a loss at its first request, since no server had been heard from for seconds, and probed three. ServerContactTest.FirstRequestOfAQuietInstanceIsNoSuspicion.

--- a/src/core/relay/ServerContact.cpp
+++ b/src/core/relay/ServerContact.cpp
@@ -20,6 +20,15 @@
 /// Time in contact after which earlier losses are forgotten.
 static constexpr Duration LossMemory = absl::Seconds(30);
 
+void ServerContact::onSent(TimePoint Now) {
+  if (AwaitedSince <= HeardAt)
+    AwaitedSince = Now;
+}
+
+TimePoint ServerContact::silentSince() const {
+  return std::max(HeardAt, AwaitedSince);
+}
+
 void ServerContact::onHeard(TimePoint Now) {
   HeardAt = std::max(HeardAt, Now);
   if (State == ContactState::Suspected) {
@@ -50,7 +59,7 @@
 
 void ServerContact::advance(const ServerContactSample &Sample, TimePoint Now) {
   const bool AllSilent =
-      Sample.Listed > 0 && Now - HeardAt >= SuspiciousSilence &&
+      Sample.Listed > 0 && Now - silentSince() >= SuspiciousSilence &&
       Sample.Silent >= std::min(MinSilentServers, Sample.Listed);
   switch (State) {
   case ContactState::InContact:
@@ -82,7 +91,8 @@
 TimePoint ServerContact::nextCheck(TimePoint Now) const {
   switch (State) {
   case ContactState::InContact:
-    return std::max(HeardAt, Now - SuspiciousSilence / 2) + SuspiciousSilence;
+    return std::max(silentSince(), Now - SuspiciousSilence / 2) +
+           SuspiciousSilence;
   case ContactState::Suspected:
     return SuspectedAt + ProbeTimeout;
   case ContactState::Lost:
--- a/src/core/relay/ServerContact.h
+++ b/src/core/relay/ServerContact.h
@@ -45,6 +45,8 @@
 /// each loss. Not thread-safe.
 class ServerContact {
 public:
+  /// An attempt has been sent to a server.
+  void onSent(TimePoint Now);
   /// A server has responded, or has accepted a connection.
   void onHeard(TimePoint Now);
   /// Every probe of a suspicion has failed.
@@ -64,10 +66,15 @@
 
 private:
   void lose(TimePoint Now);
+  /// Since when servers have been silent: the last sign, or the first attempt
+  /// after it.
+  TimePoint silentSince() const;
   Duration returnTime() const;
 
   ContactState State = ContactState::InContact;
   TimePoint HeardAt = absl::InfinitePast();
+  /// When the first attempt after HeardAt was sent, if there was one.
+  TimePoint AwaitedSince = absl::InfinitePast();
   TimePoint SuspectedAt = absl::InfinitePast();
   TimePoint ReturnedAt = absl::InfinitePast();
   /// When the state last became InContact after a loss.
--- a/src/relay/ServerContactMonitor.cpp
+++ b/src/relay/ServerContactMonitor.cpp
@@ -23,7 +23,10 @@
   Backends.Observer.OnUnreachable = [this] { scheduleCheck(); };
 }
 
-void ServerContactMonitor::onSent() { scheduleCheck(); }
+void ServerContactMonitor::onSent() {
+  Contact.onSent(LoopTimers::now());
+  scheduleCheck();
+}
 
 void ServerContactMonitor::onHeard() {
   const ContactState Before = Contact.state();
--- a/tests/relay/InstanceGraph.cpp
+++ b/tests/relay/InstanceGraph.cpp
@@ -398,6 +398,7 @@
   const int I = W->At;
   const ServerRef Server = Send.Server;
   const std::size_t Id = Send.Attempt;
+  Instances[I]->Contact.onSent(Now);
   if (reaches(I, Server)) {
     ++W->Of->Runs[Server->Info.Service];
     at(Now + randomTime(ServerTime), [this, W, I, Server, Id] {
--- a/tests/relay/ServerContactTest.cpp
+++ b/tests/relay/ServerContactTest.cpp
@@ -72,6 +72,15 @@
   }
 }
 
+TEST_F(ServerContactTest, FirstRequestOfAQuietInstanceIsNoSuspicion) {
+  Now += absl::Seconds(10);
+  Contact.onSent(Now);
+  advance(absl::Milliseconds(30), Listed);
+  EXPECT_EQ(Contact.state(), ContactState::InContact);
+  advance(absl::Milliseconds(30), Listed);
+  EXPECT_EQ(Contact.state(), ContactState::Suspected);
+}
+
 TEST_F(ServerContactTest, FewSilentServersAreNoLoss) {
   advance(absl::Seconds(10), 2);
   EXPECT_EQ(Contact.state(), ContactState::InContact);
