--- a/tests/relay/LinkMessagesTest.cpp
+++ b/tests/relay/LinkMessagesTest.cpp
@@ -122,6 +122,25 @@
             "X-Id: r1\r\n");
 }
 
+TEST(LinkMessagesTest, ResponseTellsThatServersAreLost) {
+  const std::string Plain = "HTTP/1.1 502 Bad Gateway\r\n\r\n";
+  LinkResponseInfo Info;
+  Info.ServersLost = true;
+  Info.Abandoned = true;
+  const std::string Bytes = addLinkHeader(Plain, "r1", Info, Secret);
+  const auto Decoded = decodeLinkResponse(parseResponse(Bytes), "r1", Secret);
+  ASSERT_TRUE(Decoded);
+  EXPECT_TRUE(Decoded->ServersLost);
+  EXPECT_TRUE(Decoded->Abandoned);
+  EXPECT_FALSE(Decoded->TryElsewhere);
+  const auto Without = decodeLinkResponse(
+      parseResponse(addLinkHeader(Plain, "r1", LinkResponseInfo(), Secret)),
+      "r1", Secret);
+  ASSERT_TRUE(Without);
+  EXPECT_FALSE(Without->ServersLost);
+  EXPECT_FALSE(Without->Abandoned);
+}
+
 TEST(LinkMessagesTest, ResponseCarriesTheSheetVersion) {
   const std::string Plain =
       "HTTP/1.1 200 OK\r\nX-Stamps: s\r\nContent-Length: 3\r\n\r\nabc";
--- a/tests/relay/RelayMetricsTest.cpp
+++ b/tests/relay/RelayMetricsTest.cpp
@@ -67,6 +67,26 @@
                          2 * RelayMetrics::MaxRouteSeries)));
 }
 
+TEST(RelayMetricsTest, ExportsLossesOfServers) {
+  RelayMetrics M("i", "z");
+  const std::string Labels = R"({instance_name="i",zone="z"} )";
+  auto Gauge = [&](const char *Value) {
+    return absl::StrContains(
+        M.serialize(RelaySnapshot()),
+        absl::StrCat("quetzallead_servers_lost", Labels, Value));
+  };
+  EXPECT_TRUE(Gauge("0"));
+  M.serversLost();
+  EXPECT_TRUE(Gauge("1"));
+  M.serversRegained();
+  EXPECT_TRUE(Gauge("0"));
+  M.requestHandedOver(true);
+  const std::string Text = M.serialize(RelaySnapshot());
+  EXPECT_TRUE(absl::StrContains(
+      Text, absl::StrCat("quetzallead_servers_losses_total", Labels, "1")));
+  EXPECT_TRUE(absl::StrContains(Text, R"(,begun="1"} 1)")) << Text;
+}
+
 TEST(RelayMetricsTest, ExportsCurrentSnapshot) {
   RelayMetrics M("i", "z");
   RelaySnapshot Snapshot;
