relay: a returning instance serves others once most servers are reachable

A home counts as without servers until most of them are reachable. ServerContactTest.OthersAreServedOnceMostServersAreReachable.

--- a/src/core/relay/ServerContact.cpp
+++ b/src/core/relay/ServerContact.cpp
@@ -48,6 +48,7 @@
   if (Now - RegainedAt > LossMemory)
     Losses = 0;
   ++Losses;
+  MostReachable = false;
   State = ContactState::Lost;
 }
 
@@ -58,6 +59,7 @@
 }
 
 void ServerContact::advance(const ServerContactSample &Sample, TimePoint Now) {
+  MostReachable = Sample.Unreachable * 2 <= Sample.Listed;
   const bool AllSilent =
       Sample.Listed > 0 && Now - silentSince() >= SuspiciousSilence &&
       Sample.Silent >= std::min(MinSilentServers, Sample.Listed);
@@ -77,8 +79,7 @@
   case ContactState::Returning:
     if (AllSilent) {
       lose(Now);
-    } else if (Now - ReturnedAt >= returnTime() &&
-               Sample.Unreachable * 2 <= Sample.Listed) {
+    } else if (Now - ReturnedAt >= returnTime() && MostReachable) {
       State = ContactState::InContact;
       RegainedAt = Now;
     } else if (Now - ReturnedAt >= MaxReturning) {
--- a/src/core/relay/ServerContact.h
+++ b/src/core/relay/ServerContact.h
@@ -21,8 +21,7 @@
   InContact,
   Suspected, ///< No server has been heard from for a while; probes are due.
   Lost,      ///< The probes have not been answered either.
-  Returning, ///< Servers are heard from again, since recently. The instance
-             ///< serves others, who may know no better one.
+  Returning, ///< Servers are heard from again, since recently.
 };
 
 inline constexpr NamedValue<ContactState> ContactStateNames[] = {
@@ -56,6 +55,13 @@
   void advance(const ServerContactSample &Sample, TimePoint Now);
 
   ContactState state() const { return State; }
+  /// Whether requests of other instances can be served. During a return they
+  /// are once most servers are reachable: the others may know no better
+  /// instance.
+  bool servesOthers() const {
+    return State == ContactState::Returning ? MostReachable
+                                            : State != ContactState::Lost;
+  }
   /// When advance() is due if attempts are in flight or servers cannot be
   /// reached; infinite if only onHeard() can change the state.
   TimePoint nextCheck(TimePoint Now) const;
@@ -80,6 +86,8 @@
   /// When the state last became InContact after a loss.
   TimePoint RegainedAt = absl::InfinitePast();
   int Losses = 0;
+  /// At the last advance(), most servers were reachable.
+  bool MostReachable = false;
 };
 
 } // namespace quetzallead
--- a/src/relay/ServerContactMonitor.h
+++ b/src/relay/ServerContactMonitor.h
@@ -33,11 +33,12 @@
   bool avoidsServers() const {
     return Contact.state() != ContactState::InContact;
   }
-  /// The backend servers are lost: requests of other instances are passed back.
-  bool lost() const { return Contact.state() == ContactState::Lost; }
+  /// The backend servers are lost, or too few have returned: requests of other
+  /// instances are passed back.
+  bool lost() const { return !Contact.servesOthers(); }
   /// They are lost, or have only just returned.
   bool lostOrReturning() const {
-    return lost() || Contact.state() == ContactState::Returning;
+    return avoidsServers() && Contact.state() != ContactState::Suspected;
   }
 
   /// No home could take a request of \p Route, whose servers cannot be reached
--- a/tests/relay/InstanceGraph.cpp
+++ b/tests/relay/InstanceGraph.cpp
@@ -27,9 +27,10 @@
   /// By route: until when no home is asked.
   std::map<std::string, TimePoint> UnservableUntil;
 
-  bool lost() const { return Contact.state() == ContactState::Lost; }
+  bool lost() const { return !Contact.servesOthers(); }
   bool lostOrReturning() const {
-    return lost() || Contact.state() == ContactState::Returning;
+    return Contact.state() == ContactState::Lost ||
+           Contact.state() == ContactState::Returning;
   }
 };
 
--- a/tests/relay/ServerContactTest.cpp
+++ b/tests/relay/ServerContactTest.cpp
@@ -116,6 +116,21 @@
   EXPECT_EQ(Contact.state(), ContactState::Lost);
 }
 
+// Homes that had just returned rejected requests of others for servers that
+// they did not reach yet.
+TEST_F(ServerContactTest, OthersAreServedOnceMostServersAreReachable) {
+  EXPECT_TRUE(Contact.servesOthers());
+  lose();
+  EXPECT_FALSE(Contact.servesOthers());
+  Contact.onHeard(Now);
+  EXPECT_FALSE(Contact.servesOthers());
+  advance(absl::Milliseconds(30), 0, Listed - 3);
+  EXPECT_FALSE(Contact.servesOthers());
+  advance(absl::Milliseconds(30), 0, Listed / 2);
+  EXPECT_EQ(Contact.state(), ContactState::Returning);
+  EXPECT_TRUE(Contact.servesOthers());
+}
+
 TEST_F(ServerContactTest, ASingleServerThatAnswersIsNoReturn) {
   lose();
   Contact.onHeard(Now);
