--- a/tests/relay/InstanceGraph.cpp
+++ b/tests/relay/InstanceGraph.cpp
@@ -112,7 +112,10 @@
   }
 }
 
-InstanceGraph::~InstanceGraph() = default;
+InstanceGraph::~InstanceGraph() {
+  for (const auto &W : Working)
+    W->AtHomes.clear();
+}
 
 void InstanceGraph::at(TimePoint When, std::function<void()> Event) {
   Events.emplace(When, std::move(Event));
@@ -150,8 +153,12 @@
     }
     Working.erase(std::remove_if(Working.begin(), Working.end(),
                                  [](const auto &W) {
-                                   return W->Request->answered() &&
-                                          W->Open.empty();
+                                   if (!W->Request->answered() ||
+                                       !W->Open.empty())
+                                     return false;
+                                   // The work at a home refers to this one.
+                                   W->AtHomes.clear();
+                                   return true;
                                  }),
                   Working.end());
   }
