--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -124,7 +124,8 @@
                          });
 }
 
-/// True for the errors that the kernel reports when the peer acknowledges nothing.
+/// True for the errors that the kernel reports when the peer acknowledges
+/// nothing.
 static bool isSilence(const error_code &EC) {
   return EC == asio::error::timed_out || EC == asio::error::host_unreachable ||
          EC == asio::error::network_unreachable;
