--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -2,11 +2,11 @@
 #include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
 #include "relay/RequestFingerprint.h"
+#include "relay/RequestLog.h"
 #include "runtime/Endpoint.h"
 #include "runtime/Logger.h"
 #include <algorithm>
 #include <csignal>
-#include <xxhash.h>
 
 namespace quetzallead {
 
@@ -35,9 +35,6 @@
 static constexpr Duration MinStoreSilence = absl::Seconds(1);
 /// Interval at which the progress of a shutdown is checked.
 static constexpr Duration ShutdownPollInterval = absl::Milliseconds(50);
-/// One in this many successful requests is logged, as a baseline to compare
-/// failures with.
-static constexpr std::uint64_t ServedLogInterval = 200;
 /// Longer request targets are truncated in log lines.
 static constexpr std::size_t MaxLoggedTargetChars = 200;
 /// Delay before the sheet is requested again after a home did not return it.
@@ -108,6 +105,7 @@
       State(stateOptions(Settings)), Metrics(Settings.Instance, Settings.Zone),
       Feed(Settings.ReturnTime, vanishedServerReturnTime(Settings)),
       Backends(Loop, Timers), Servers(State, Backends, Timers, Metrics),
+      HandOvers(State, Servers, Metrics),
       Crashes(Backends, Suspects, Environment.Headers),
       Store(Environment.MakeStore(Loop, Timers, Settings.StoreAddress,
                                   Settings.StoreTimeout)),
@@ -158,6 +156,19 @@
            Suspects.suspects(Fingerprint(Call), LoopTimers::now());
   };
   Servers.OnLost = [this] { onServersLost(); };
+  HandOvers.ForwardToHome = [this](const std::shared_ptr<CallerSession> &Caller,
+                                   const ForwardedRequest &Call,
+                                   bool Repeated) {
+    forward(Caller, Call, Repeated);
+  };
+  HandOvers.PassBack = [this](const std::shared_ptr<CallerSession> &Asker,
+                              const ForwardedRequest &Call) {
+    rejectLinkRequest(*Asker, Call.RequestId, "no servers in reach");
+  };
+  HandOvers.Abandon = [this](const std::shared_ptr<CallerSession> &Asker,
+                             const ForwardedRequest &Call) {
+    abandonLinkRequest(*Asker, Call.RequestId);
+  };
   Crashes.OnChanged = [this] {
     logEvent(LogLevel::Info, "crash_reports_received",
              {{"blocked", Suspects.blockedCount(LoopTimers::now())}});
@@ -875,66 +886,21 @@
   serve(Caller, std::move(Call), LinkRequestInfo());
 }
 
-HandOverQuestion
-RelayDaemon::handOverQuestion(const CallerSession &Caller, const Route &Matched,
-                              const LinkRequestInfo &Info) const {
-  const TimePoint Now = LoopTimers::now();
-  HandOverQuestion Question;
-  Question.FromInstance = Caller.uses(LinkHandlers);
-  // A suspicion is no reason to pass on what another instance passes on.
-  Question.ServersLost =
-      Question.FromInstance ? Servers.lost() : Servers.avoidsServers();
-  Question.OutOfReach = State.outOfReach(Matched);
-  Question.HandedOver = Info.PassedBack;
-  Question.HomeAvailable = !LinkSecret.empty() && State.hasHomeWithServers(Now);
-  Question.KnownUnservable = Servers.isUnservable(Matched.Name, Now);
-  return Question;
-}
-
-HandOverQuestion
-RelayDaemon::handOverQuestion(const CallerSession &Caller,
-                              const RelayRequest &Failed) const {
-  LinkRequestInfo Info;
-  Info.PassedBack = Failed.plan().HandedOver;
-  HandOverQuestion Question =
-      handOverQuestion(Caller, *Failed.plan().MatchedRoute, Info);
-  Question.ServersLost =
-      Question.FromInstance ? Servers.lost() : Servers.lostOrReturning();
-  Question.OutOfReach = Failed.lacksServers();
-  Question.Begun = Failed.begun();
-  Question.MayBeRepeated = Failed.mayBeRepeated();
-  return Question;
+HandOverOrigin RelayDaemon::originOf(const CallerSession &Caller) const {
+  HandOverOrigin Origin;
+  Origin.FromInstance = Caller.uses(LinkHandlers);
+  Origin.HasLinks = !LinkSecret.empty();
+  return Origin;
 }
 
-bool RelayDaemon::handOver(const std::shared_ptr<CallerSession> &Caller,
-                           const ForwardedRequest &Call,
-                           const std::string &RouteName,
-                           const HandOverQuestion &Question) {
-  const HandOver Choice = chooseHandOver(Question);
-  if (Choice == HandOver::None)
-    return false;
-  logEvent(LogLevel::Info, "request_handed_over",
-           {{"request", Call.RequestId},
-            {"route", RouteName},
-            {"choice", nameOf(HandOverNames, Choice)},
-            {"cause", Question.ServersLost ? "servers_lost" : "out_of_reach"},
-            {"begun", Question.Begun}});
-  if (Choice == HandOver::PassBack) {
-    rejectLinkRequest(*Caller, Call.RequestId, "no servers in reach");
-    return true;
-  }
-  if (Choice == HandOver::Abandon) {
-    const bool KeepOpen = Caller->mayKeepOpen();
-    LinkResponseInfo Info;
-    Info.Abandoned = true;
-    respond(*Caller, Call.RequestId,
-            encodeStatusResponse(502, absl::ZeroDuration(), KeepOpen), KeepOpen,
-            Info);
-    return true;
-  }
-  Metrics.requestHandedOver(Question.Begun);
-  forward(Caller, Call, Question.Begun);
-  return true;
+void RelayDaemon::abandonLinkRequest(CallerSession &Asker,
+                                     const std::string &RequestId) {
+  const bool KeepOpen = Asker.mayKeepOpen();
+  LinkResponseInfo Info;
+  Info.Abandoned = true;
+  respond(Asker, RequestId,
+          encodeStatusResponse(502, absl::ZeroDuration(), KeepOpen), KeepOpen,
+          Info);
 }
 
 void RelayDaemon::onServersLost() {
@@ -1086,8 +1052,9 @@
     reject(*Caller, Call, RejectReason::NoRoute, Now);
     return;
   }
-  if (handOver(Caller, Call, MatchedRoute->Name,
-               handOverQuestion(*Caller, *MatchedRoute, Info)))
+  HandOverOrigin Origin = originOf(*Caller);
+  Origin.HandedOver = Info.PassedBack;
+  if (HandOvers.beforeServing(Caller, Call, *MatchedRoute, Origin))
     return;
   if (!Suspects.empty())
     Call.Fingerprint = requestFingerprint(Call);
@@ -1132,21 +1099,16 @@
         const bool NotRun = Verdict.Outcome == RelayOutcome::Rejected ||
                             Verdict.Outcome == RelayOutcome::Unservable;
         const Route &Matched = *Finished->request().plan().MatchedRoute;
-        const bool Forwarded = Matched.Target == RouteTarget::Home;
-        if (NotRun && canServe() && Forwarded) {
-          if (!Servers.avoidsServers())
-            Servers.noteUnservable(Matched.Name, LoopTimers::now());
+        if (NotRun && canServe() && Matched.Target == RouteTarget::Home) {
+          HandOvers.onReturnedUnserved(Matched.Name, LoopTimers::now());
           LinkRequestInfo Info;
           Info.PassedBack = true;
           serve(Open, Finished->call(), Info);
           return;
         }
-        const bool Failed = NotRun || Verdict.Outcome == RelayOutcome::Failed;
-        if (Failed && !Forwarded &&
-            handOver(Open, Finished->call(), Matched.Name,
-                     handOverQuestion(*Open, Finished->request())))
-          return;
-        onResult(*Open, *Finished, Verdict);
+        if (!HandOvers.afterFailure(Open, Finished->call(), Finished->request(),
+                                    Verdict.Outcome, originOf(*Open)))
+          onResult(*Open, *Finished, Verdict);
       });
   Session->OnClaim = [this, WeakCaller, Id = Session->call().RequestId] {
     if (auto Asker = WeakCaller.lock())
@@ -1156,66 +1118,11 @@
   Session->start();
 }
 
-/// True if the caller gets a usable response.
-static bool isServed(const RelayResult &Verdict) {
-  return Verdict.Outcome == RelayOutcome::Merged ||
-         (Verdict.Outcome == RelayOutcome::Relayed &&
-          Verdict.Responses[0]->Status < 500);
-}
-
-/// True for one request in ServedLogInterval. Depends on the request id alone,
-/// so that all instances select the same requests.
-static bool isSampled(const std::string &RequestId) {
-  return XXH3_64bits(RequestId.data(), RequestId.size()) % ServedLogInterval ==
-         0;
-}
-
-void RelayDaemon::logRequest(const RelaySession &Session,
-                             const RelayResult &Verdict, TimePoint Now) const {
-  const ForwardedRequest &Call = Session.call();
-  const RelayRequest &Request = Session.request();
-  const Route &Matched = *Request.plan().MatchedRoute;
-  const auto ElapsedMs = absl::ToInt64Milliseconds(Now - Call.ArrivalTime);
-  if (!isServed(Verdict)) {
-    const bool Disconnected =
-        Verdict.Outcome == RelayOutcome::CallerDisconnected;
-    logEvent(LogLevel::Info, Disconnected ? "caller_left" : "request_failed",
-             {{"request", Call.RequestId},
-              {"route", Matched.Name},
-              {"kind", nameOf(RequestKindNames, Matched.Kind)},
-              {"outcome", nameOf(RelayOutcomeNames, Verdict.Outcome)},
-              {"sheet", Session.sheetVersion()},
-              {"missing", Request.describeMissing()},
-              {"retry_after_ms", absl::ToInt64Milliseconds(Verdict.RetryAfter)},
-              {"ms", ElapsedMs}});
-    return;
-  }
-  if (Verdict.MissingParts > 0)
-    logEvent(LogLevel::Info, "parts_missing",
-             {{"request", Call.RequestId},
-              {"route", Matched.Name},
-              {"sheet", Session.sheetVersion()},
-              {"missing", Request.describeMissing()},
-              {"hedge_ms",
-               absl::ToDoubleMilliseconds(Request.plan().Stats->hedgeDelay())},
-              {"ms", ElapsedMs}});
-  const bool Late = Now - Call.ArrivalTime > Matched.Objective;
-  if (!Late && !isSampled(Call.RequestId))
-    return;
-  logEvent(LogLevel::Info, Late ? "request_late" : "request_served",
-           {{"request", Call.RequestId},
-            {"route", Matched.Name},
-            {"sheet", Session.sheetVersion()},
-            {"parts", Request.describeParts()},
-            {"objective_ms", absl::ToInt64Milliseconds(Matched.Objective)},
-            {"ms", ElapsedMs}});
-}
-
 void RelayDaemon::recordRequestEnd(const RelaySession &Session,
                                    const RelayResult &Verdict) {
   const RelayRequest &Request = Session.request();
   const TimePoint Now = LoopTimers::now();
-  logRequest(Session, Verdict, Now);
+  logRequestEnd(Session, Verdict, Now);
   RelayRequestSample Sample;
   Sample.Route = Request.plan().MatchedRoute->Name;
   Sample.Outcome = Verdict.Outcome;
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -1,7 +1,6 @@
 #ifndef QUETZALLEAD_RELAY_RELAYDAEMON_H
 #define QUETZALLEAD_RELAY_RELAYDAEMON_H
 
-#include "core/relay/HandOver.h"
 #include "core/relay/RelayState.h"
 #include "core/relay/SheetHistory.h"
 #include "core/relay/StoreContact.h"
@@ -17,6 +16,7 @@
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySession.h"
 #include "relay/RelaySettings.h"
+#include "relay/RequestHandOver.h"
 #include "relay/ServerContactMonitor.h"
 #include "relay/StopPlan.h"
 #include <boost/asio/io_context.hpp>
@@ -86,18 +86,9 @@
   /// instance may have run it.
   void forward(const std::shared_ptr<CallerSession> &Caller,
                ForwardedRequest Call, bool Repeated = false);
-  /// Describes a request on \p Matched, which this instance has not begun.
-  HandOverQuestion handOverQuestion(const CallerSession &Caller,
-                                    const Route &Matched,
-                                    const LinkRequestInfo &Info) const;
-  /// Describes a request that has failed here.
-  HandOverQuestion handOverQuestion(const CallerSession &Caller,
-                                    const RelayRequest &Failed) const;
-  /// Hands a request over that \p Question describes; returns false if it ends
-  /// here.
-  bool handOver(const std::shared_ptr<CallerSession> &Caller,
-                const ForwardedRequest &Call, const std::string &RouteName,
-                const HandOverQuestion &Question);
+  HandOverOrigin originOf(const CallerSession &Caller) const;
+  /// Tells the asking instance that this one may have run the request.
+  void abandonLinkRequest(CallerSession &Asker, const std::string &RequestId);
   /// Gives up the requests in flight at backend servers that are lost.
   void onServersLost();
   /// Performs \p Plan and responds to the caller with its result.
@@ -153,8 +144,6 @@
   /// Logs a completed request and updates the metrics.
   void recordRequestEnd(const RelaySession &Session,
                         const RelayResult &Verdict);
-  void logRequest(const RelaySession &Session, const RelayResult &Verdict,
-                  TimePoint Now) const;
   bool ready() const;
   bool shuttingDown() const {
     return Shutdown.StartTime != absl::InfiniteFuture();
@@ -175,6 +164,7 @@
   ServerFeed Feed;
   BackendClient Backends;
   ServerContactMonitor Servers;
+  RequestHandOver HandOvers;
   CrashSuspects Suspects;
   CrashExchange Crashes;
   std::unique_ptr<RevisionedStore> Store;
