relay: a request that no home can take any more is not held for the budget

Cause: requests that a home had abandoned waited for an extra attempt of forwarding, which the first ones had spent, though every home had said that it has no servers.

--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -424,7 +424,9 @@
 void RelayRequest::retry(std::size_t Index, TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   RelayTarget &T = Plan.Targets[Index];
-  if (blocked() || (!isForwarded() && T.Pool->outOfReach())) {
+  const bool NobodyLeft = isForwarded() ? !T.Pool->hasReachableServer(Now)
+                                        : T.Pool->outOfReach();
+  if (blocked() || NobodyLeft) {
     failPart(Index);
     return;
   }
--- a/tests/relay/ForwardingTest.cpp
+++ b/tests/relay/ForwardingTest.cpp
@@ -104,6 +104,26 @@
   EXPECT_GT(World.Verdict->RetryAfter, absl::ZeroDuration());
 }
 
+// Callers were held until their time was up when all homes had lost their
+// servers and the extra attempts of forwarding were spent.
+TEST_F(ForwardingTest, AbandonedRequestWasHeldThoughNoHomeHadServers) {
+  int Requests = 0;
+  // Each one spends an extra attempt.
+  for (bool Held = false; !Held && Requests < 50; ++Requests) {
+    for (const ServerRef &Home : World.State->homes())
+      RelayState::noteHome(Home, false, World.Now);
+    startForward();
+    for (const ServerRef &Home : World.State->homes())
+      RelayState::noteHome(Home, true, World.Now);
+    World.endAttempt(0, AttemptResult::Lost);
+    World.advance(absl::Milliseconds(50));
+    Held = !World.answered();
+    World.SentServers.clear();
+    World.Verdict.reset();
+  }
+  EXPECT_EQ(Requests, 50);
+}
+
 TEST_F(ForwardingTest, FailureOfTheHomeIsFinal) {
   startForward();
   World.acknowledge(0);
