--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -424,8 +424,8 @@
 void RelayRequest::retry(std::size_t Index, TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   RelayTarget &T = Plan.Targets[Index];
-  const bool NobodyLeft = isForwarded() ? !T.Pool->hasReachableServer(Now)
-                                        : T.Pool->outOfReach();
+  const bool NobodyLeft =
+      isForwarded() ? !T.Pool->hasReachableServer(Now) : T.Pool->outOfReach();
   if (blocked() || NobodyLeft) {
     failPart(Index);
     return;
