review: a repeated rejection passes for the answer to a second send

Cause: a response is matched to an attempt by its Request-Id, which all attempts of a request share. A request that a server has rejected goes to the same server again on the same connection if the service has no other, and a late second copy of the rejection is taken for the answer to it.

Case 1: a server without room for one request in forty rejects it and sends that answer twice, the second time 15 ms after it has begun to run the request that was sent once more. The callers send requests that are not idempotent.

--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's store, backend servers and clients."""
