--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -22,6 +22,7 @@
         self.zone = zone
         self.work_s = work_s
         self.slots = 4
+        self.warm_up_left_ms = 0
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.stopped = False
@@ -40,7 +41,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": self.warm_up_left_ms,
             "seq": self.sequence,
             "born": self.born,
         }
