--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -127,8 +127,12 @@
                 "budget_window_s": 10,
             },
         }
+        # The metrics are served on a free port, too.
+        metrics_port = free_port(ip)
+        self.metrics = f"{ip}:{metrics_port}"
+        text = fill_template(fields).replace(f"{ip}:9464", self.metrics)
         with open(self.settings, "w", encoding="utf-8") as file:
-            file.write(fill_template(fields))
+            file.write(text)
 
     def start(self):
         program, *arguments = run_command()
@@ -176,6 +180,18 @@
             self.process.kill()
             self.process.wait()
 
+    def metric(self, name):
+        """The value of a metric, whatever its labels; None if it is not served."""
+        try:
+            peer = connect(self.metrics, 1)
+            peer.send(encode("GET /metrics HTTP/1.1", [("Host", "metrics")]))
+            text = peer.read().body.decode()
+            peer.close()
+        except (OSError, Closed):
+            return None
+        found = re.search(rf"^{name}(?:{{.*}})? (\S+)$", text, re.MULTILINE)
+        return float(found.group(1)) if found else None
+
     def log_lines(self, word):
         with open(self.log_path, encoding="utf-8", errors="replace") as file:
             return [line.strip() for line in file if word in line]
