--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A second copy of a server's rejection arrives while the server runs the same request."""
+"""A home is killed while it serves a new route that its asker doesn't know yet."""
 
 import os
 import sys
@@ -16,121 +16,92 @@
 HOST = "desk.example"
 SERVICE = "enquiry-relay"
 OTHER_SERVICE = "record-viewer"
-CALLERS = 2
-TRAFFIC_S = 5.0
 DEADLINE_MS = 2000
-WORK_S = 0.04
-# One answer in so many is a rejection, and only rejections are sent twice.
-ANSWERS_PER_REJECTION = 40
-# When the copy arrives, counted from the start of the work.
-COPY_DELAY_S = 0.015
-NOT_RUN_STATUSES = (408, 421, 429, 503)
+WORK_S = 0.6
+IN_FLIGHT = "quetzallead_requests_in_flight"
+SHEET_VERSION = "quetzallead_sheet_version"
+# Routes that the operator adds until the asker doesn't know one yet: it polls the homes.
+MOST_ROUTES = 5
 
 
-class BusyServer(Server):
-    """Has no room for one request in forty when it arrives, and room a moment later."""
-
-    def __init__(self, trouble, *arguments, **options):
-        super().__init__(*arguments, **options)
-        self.trouble = trouble
-        self.arrivals = 0
-        self.copies = 0
-        self.rejected = {}
-
-    def serve(self, peer, request):
-        request_id = request.header("Request-Id")
-        with self.lock:
-            self.arrivals += 1
-            full = self.arrivals % ANSWERS_PER_REJECTION == 0 and request_id not in self.rejected
-            if full:
-                self.rejected[request_id] = peer
-        if full:
-            self.answer(peer, request, 503, [("Not-Executed", 1)])
-            return
-        # The copy follows the rejection on its connection.
-        if self.trouble and self.rejected.get(request_id) is peer:
-            threading.Timer(COPY_DELAY_S, self.send_copy, (peer, request)).start()
-        self.run(request)
-        self.answer_success(peer, request)
-
-    def send_copy(self, peer, request):
-        try:
-            peer.send(self.encode_answer(request, 503, [("Not-Executed", 1)]))
-        except Closed:
-            return
-        self.copies += 1
-        self.record.line("server", self.id, "sends its 503 again", request.header("Request-Id"))
-
-
-def call(case, relay, number, answers):
-    """Sends one enquiry after the other on a kept connection."""
+def ask(case, relay, path, request_id, method="POST"):
+    """Sends a request on a new connection and returns the status, or None."""
     record = case.record
-    caller = connect(relay.front, 5)
-    end = time.monotonic() + TRAFFIC_S
-    sent = 0
-    while time.monotonic() < end:
-        request_id = f"enquiry-{number}-{sent}"
-        sent += 1
-        record.line("caller sends", request_id)
-        try:
-            caller.send(
-                cases.encode_request(
-                    "POST", HOST, f"/enquiry/{sent}", request_id, DEADLINE_MS, b"an enquiry"
-                )
-            )
-            answer = caller.read()
-        except Closed:
-            record.line("caller's connection closed", request_id)
-            caller = connect(relay.front, 5)
-            continue
-        answers[request_id] = answer.status
-        record.line("caller gets", request_id, answer.status)
-    caller.close()
+    record.line("caller sends", request_id, "to", relay.name)
+    body = b"an enquiry" if method == "POST" else None
+    try:
+        peer = connect(relay.front, DEADLINE_MS / 1000)
+        peer.send(cases.encode_request(method, HOST, path, request_id, DEADLINE_MS, body))
+        status = peer.read().status
+        peer.close()
+    except (Closed, OSError):
+        status = None
+    record.line("caller gets", request_id, status)
+    return status
 
 
 def play(case):
     record = case.record
     store = Store()
     case.closers.append(store.stop)
-    routes = [
-        cases.route("enquiry", HOST, "/enquiry/", "non_idempotent", SERVICE, 2000, 400),
-        cases.route("record", HOST, "/record/", "idempotent", OTHER_SERVICE, 2000, 400),
-    ]
+    viewing = cases.route("desk", HOST, "/desk/", "idempotent", OTHER_SERVICE, 2000, 400)
+    for service in (SERVICE, OTHER_SERVICE):
+        for number in range(2):
+            server = Server(
+                record, store, service, f"{service}-{number}", "zone-a", work_s=WORK_S
+            )
+            case.closers.append(server.stop)
+            server.register()
+    # The enquiries' service is in use by a route already.
+    mail = cases.route("mail", HOST, "/mail/", "non_idempotent", SERVICE, 2000, 1000)
+    routes = [viewing, mail]
     store.put("op/config", cases.config(1, routes, 110))
-    server = BusyServer(case.trouble, record, store, SERVICE, "i-1", "zone-a", work_s=WORK_S)
-    others = [Server(record, store, OTHER_SERVICE, f"i-{n}", "zone-a") for n in (2, 3)]
-    for each in (server, *others):
-        case.closers.append(each.stop)
-        each.register()
-    relay = case.start_relay("front-1", "zone-a", "127.0.0.1", store.address)
-    relay.await_ready()
-    answers = {}
-    callers = [
-        threading.Thread(target=call, args=(case, relay, number, answers))
-        for number in range(CALLERS)
+    homes = [
+        case.start_relay(f"front-{n}", "zone-a", f"127.0.0.{n}", store.address) for n in (1, 2, 3)
     ]
-    for caller in callers:
-        caller.start()
-    for caller in callers:
-        caller.join()
-    # The server finishes what it has begun.
-    time.sleep(5 * WORK_S)
-    record.line(
-        f"server i-1 gave {server.arrivals} answers, rejected {len(server.rejected)}"
-        f" requests and sent {server.copies} answers twice"
-    )
-    if not server.rejected or (case.trouble and not server.copies):
-        raise cases.CannotRun("the server rejected nothing, or sent no answer twice")
-    broken = []
-    for request_id, status in answers.items():
-        runs = record.servers_that_ran(request_id)
-        if status in NOT_RUN_STATUSES and runs:
-            broken.append(f"REFUSED: {request_id} was answered {status} and ran at {runs}")
-        if len(runs) > 1:
-            broken.append(f"TWICE: {request_id} ran at {runs}")
-    for line in broken:
-        record.line(line)
-    return not broken
+    for relay in homes:
+        relay.await_ready()
+    time.sleep(4)
+    # An instance is added to the zone; it asks two of the others, the zone's homes.
+    asker = case.start_relay("front-9", "zone-a", "127.0.0.9", store.address)
+    asker.await_ready()
+    time.sleep(4)
+    if asker.log_lines("home_activated"):
+        raise cases.CannotRun("the added instance follows the store itself")
+    ask(case, asker, "/desk/1", "viewing-1", "GET")
+
+    for number in range(2, 2 + MOST_ROUTES):
+        path = f"/desk/enquiry-{number}/"
+        routes.append(
+            cases.route(f"enquiry-{number}", HOST, path, "non_idempotent", SERVICE, 2000, 1000)
+        )
+        store.put("op/config", cases.config(number, routes, 110))
+        record.line("the store confirms version", number, "with the route", path)
+        time.sleep(0.03)
+        versions = [relay.metric(SHEET_VERSION) for relay in homes]
+        known = asker.metric(SHEET_VERSION)
+        record.line("homes have versions", versions, "the asker has", known)
+        if known < number:
+            break
+        time.sleep(0.7)
+    else:
+        raise cases.CannotRun("the asker always knew the newest version")
+    request_id = "enquiry-1"
+    asking = threading.Thread(target=ask, args=(case, asker, path, request_id))
+    asking.start()
+    time.sleep(WORK_S / 4)
+    serving = [relay for relay in homes if relay.metric(IN_FLIGHT)]
+    if len(serving) != 1 or not record.servers_that_ran(request_id):
+        raise cases.CannotRun("no home serves the enquiry")
+    record.line(serving[0].name, "serves", request_id)
+    if case.trouble:
+        serving[0].kill()
+        record.line(serving[0].name, "is killed")
+    asking.join()
+    runs = record.servers_that_ran(request_id)
+    if len(runs) > 1:
+        record.line(f"TWICE: {request_id} ran at {' and '.join(runs)}")
+    return len(runs) < 2
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""The store comes back from an older copy, and later a server leaves as planned."""
+"""A caller pipelines a request with a long body behind one that is being served."""
 
 import os
 import sys
@@ -13,145 +13,131 @@
 from standins.server import Server
 from standins.store import Store
 
-HOST = "desk.example"
-SERVICE = "enquiry-relay"
-OTHER_SERVICE = "record-viewer"
-RELAYS = 3
-HEARTBEAT_S = 1.2
-WARM_UP_MS = 3000
-DRAIN_MS = 3000
-STABILITY_MS = 4000
-# How old the copy is, and how long the store is away.
-COPY_AGE_S = 4.0
-AWAY_S = 1.0
-# How long a server that leaves serves on after its time.
-SERVES_ON_S = 0.6
+HOST = "search.example"
+SERVICE = "record-viewer"
+ROUNDS = 20
 DEADLINE_MS = 2000
-
-
-class LeavingServer(Server):
-    """Announces in the store and in its answers that it leaves, and ends in time."""
-
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
-        self.leaving = False
-        self.arrivals = []
-
-    def serve(self, peer, request):
-        self.arrivals.append((self.record.now(), request.header("Request-Id")))
-        self.run(request)
-        headers = [("Server-Leaving", 1), ("Connection", "close")] if self.leaving else []
-        self.answer_success(peer, request, headers)
-
-
-def ask(case, relay, method, path, request_id):
-    """Sends a request on a new connection and returns the status, or None."""
-    record = case.record
-    record.line("caller sends", request_id, "to", relay.name)
-    body = b"an enquiry" if method == "POST" else None
-    try:
-        peer = connect(relay.front, DEADLINE_MS / 1000)
-        peer.send(cases.encode_request(method, HOST, path, request_id, DEADLINE_MS, body))
-        status = peer.read().status
-        peer.close()
-    except (Closed, OSError):
-        status = None
-    record.line("caller gets", request_id, status)
-    return status
-
-
-def ask_at_all(case, relays, method, path, label):
-    """Sends one request to each relay at the same time."""
-    statuses = {}
-
-    def ask_one(relay):
-        request_id = f"{label}-{relay.name}"
-        statuses[request_id] = ask(case, relay, method, path, request_id)
-
-    threads = [threading.Thread(target=ask_one, args=(relay,)) for relay in relays]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    return statuses
-
-
-def warm_up(server):
-    """Writes the server's entry with each heartbeat until it is warm."""
-    for elapsed in range(4):
-        server.warm_up_left_ms = max(0, WARM_UP_MS - int(elapsed * HEARTBEAT_S * 1000))
-        revision = server.register()
-        server.record.line("server", server.id, "writes its entry, revision", revision)
-        if elapsed < 3:
-            time.sleep(HEARTBEAT_S)
+WORK_S = 0.05
+# A binary body, well within max_body_bytes, which is 262144.
+BODY = bytes(100_000)
+# Callers that send a body at the same time, on connections of their own.
+UPLOADING = 24
+UPLOAD = bytes(120_000)
+# More than three connections that are closed without an answer break the rule.
+MOST_CLOSED = 3
+STOP_TIMEOUT_S = 10
+
+
+class Caller:
+    """Counts its requests that were passed on and ended without an answer."""
+
+    def __init__(self, case, relay, name):
+        self.case = case
+        self.relay = relay
+        self.name = name
+        self.sent = 0
+        self.peer = connect(relay.front, DEADLINE_MS / 1000)
+        self.unanswered = []
+
+    def encode(self, body=None):
+        self.sent += 1
+        request_id = f"{self.name}-{self.sent}"
+        method = "GET" if body is None else "POST"
+        path = f"/record/{request_id}"
+        return request_id, cases.encode_request(method, HOST, path, request_id, DEADLINE_MS, body)
+
+    def await_answer(self, request_id):
+        record = self.case.record
+        try:
+            answer = self.peer.read()
+        except (Closed, TimeoutError) as fault:
+            record.line(self.name, "gets no answer to", request_id, type(fault).__name__)
+            if record.servers_that_ran(request_id):
+                self.unanswered.append(request_id)
+            self.peer.close()
+            # A request that may be repeated is sent again on a new connection.
+            self.peer = connect(self.relay.front, DEADLINE_MS / 1000)
+            return False
+        record.line(self.name, "gets", request_id, answer.status, len(answer.body), "bytes")
+        if answer.status == 200 and answer.header("Request-Id") != request_id:
+            raise cases.CannotRun("the caller got the answer to another request")
+        return True
+
+    def ask(self, body=None):
+        request_id, data = self.encode(body)
+        self.case.record.line(self.name, "sends", request_id)
+        self.peer.send(data)
+        return self.await_answer(request_id)
+
+    def ask_two(self, pipelined):
+        """Sends a second request before, or after, the first one is answered."""
+        first, first_data = self.encode()
+        second, second_data = self.encode(BODY)
+        self.case.record.line(self.name, "sends", first, "and", second)
+        if not pipelined:
+            self.peer.send(first_data)
+            if self.await_answer(first):
+                self.peer.send(second_data)
+                self.await_answer(second)
+            return
+        try:
+            self.peer.send(first_data + second_data)
+        except Closed:
+            self.case.record.line(self.name, "cannot send", second)
+        if self.await_answer(first):
+            self.await_answer(second)
+        else:
+            self.ask()
 
 
 def play(case):
     record = case.record
     store = Store()
     case.closers.append(store.stop)
-    routes = [
-        cases.route("enquiry", HOST, "/enquiry/", "non_idempotent", SERVICE, 2000, 400),
-        cases.route("record", HOST, "/record/", "idempotent", OTHER_SERVICE, 2000, 400),
-    ]
-    store.put("op/config", cases.config(1, routes, 110))
-    far = Server(record, store, SERVICE, "i-far", "zone-b", work_s=0.05)
-    other = Server(record, store, OTHER_SERVICE, "i-other", "zone-a")
-    near = LeavingServer(record, store, SERVICE, "i-near", "zone-a", work_s=0.5)
-    for server in (far, other, near):
+    route = cases.route("record", HOST, "/record/", "idempotent", SERVICE, 2000, 400)
+    store.put("op/config", cases.config(1, [route], 110))
+    for number in range(2):
+        server = Server(record, store, SERVICE, f"i-{number}", "zone-a", work_s=WORK_S)
         case.closers.append(server.stop)
-    far.register()
-    other.register()
-    relays = [
-        case.start_relay(f"front-{n}", "zone-a", f"127.0.0.{n}", store.address)
-        for n in range(1, RELAYS + 1)
-    ]
-    for relay in relays:
-        relay.await_ready()
-    # Each relay has registered by then.
-    time.sleep(3)
-
-    copy = store.copy()
-    copied_at = time.monotonic()
-    record.line("a copy of the store is made, revision", copy[1])
-    warm_up(near)
-    time.sleep(max(0, copied_at + COPY_AGE_S - time.monotonic()))
-    if case.trouble:
-        record.line("the store goes away, revision", store.revision)
-        store.restore(copy, AWAY_S)
-        record.line("the store is back from the copy, revision", store.revision)
-    # What the servers wrote is written again.
-    record.line("server i-near writes its entry, revision", near.register())
-    time.sleep(1)
-    ask_at_all(case, relays, "POST", "/enquiry/1", "before")
-    time.sleep(STABILITY_MS / 1000)
-
-    near.leaving = True
-    revision = near.register("draining")
-    left_at = record.now()
-    record.line("the store confirms that i-near is draining, revision", revision)
-    # A few quiet seconds, in which only records are viewed.
-    while record.now() < left_at + DRAIN_MS / 1000 + 0.2:
-        ask_at_all(case, relays, "GET", "/record/1", f"record-{record.now():.1f}")
-        time.sleep(0.3)
-    end_at = left_at + DRAIN_MS / 1000 + SERVES_ON_S
-    ending = threading.Timer(max(0, end_at - record.now()), near.stop)
-    ending.start()
-    statuses = ask_at_all(case, relays, "POST", "/enquiry/2", "after")
-    ending.join()
-    record.line("server i-near has ended")
-
-    late = [
-        request_id
-        for at, request_id in near.arrivals
-        if at > left_at + DRAIN_MS / 1000 and request_id.startswith("after")
-    ]
-    lost = [r for r in late if statuses[r] != 200]
-    if late:
-        record.line(f"DRAIN: reached i-near over {DRAIN_MS} ms after: {' '.join(late)}")
-    if lost:
-        record.line(f"lost when i-near ended: {' '.join(lost)}")
-    return not late
+        server.register()
+    relay = case.start_relay("front-1", "zone-a", "127.0.0.1", store.address)
+    relay.await_ready()
+    pipelining = Caller(case, relay, "pipelining")
+    others = []
+    for number in range(ROUNDS):
+        pipelining.ask()
+        asking = threading.Thread(target=pipelining.ask_two, args=(case.trouble,))
+        asking.start()
+        time.sleep(WORK_S / 2)
+        # A caller that sends one request at a time comes in the meantime.
+        other = Caller(case, relay, f"other-{number}")
+        others.append(other)
+        other.ask()
+        asking.join()
+    uploads = []
+    for number in range(UPLOADING):
+        other = Caller(case, relay, f"uploading-{number}")
+        others.append(other)
+        uploads.append(threading.Thread(target=other.ask, args=(UPLOAD,)))
+    for upload in uploads:
+        upload.start()
+    for upload in uploads:
+        upload.join()
+    relay.terminate()
+    status = relay.await_end(STOP_TIMEOUT_S)
+    broken = []
+    if len(pipelining.unanswered) > MOST_CLOSED:
+        broken.append(f"LOST: passed on and not answered: {' '.join(pipelining.unanswered)}")
+    for other in others:
+        if other.unanswered:
+            broken.append(f"never answered, another caller's: {' '.join(other.unanswered)}")
+    if status is None:
+        broken.append("the process did not end after SIGTERM")
+    elif status != 0:
+        broken.append(f"the process ended by itself with status {status}")
+    for line in broken:
+        record.line(line)
+    return not broken
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A faulty server sends additional bytes after a complete answer."""
+"""The store comes back from an older copy, and later a server leaves as planned."""
 
 import os
 import sys
@@ -13,105 +13,147 @@
 from standins.server import Server
 from standins.store import Store
 
-HOST = "view.example"
-SERVICE = "record-viewer"
-CALLERS = 2
-TRAFFIC_S = 5.0
+HOST = "desk.example"
+SERVICE = "enquiry-relay"
+OTHER_SERVICE = "record-viewer"
+RELAYS = 3
+HEARTBEAT_S = 1.2
+WARM_UP_MS = 3000
+DRAIN_MS = 3000
+STABILITY_MS = 4000
+# How old the copy is, and how long the store is away.
+COPY_AGE_S = 4.0
+AWAY_S = 1.0
+# How long a server that leaves serves on after its time.
+SERVES_ON_S = 0.6
 DEADLINE_MS = 2000
-WORK_S = 0.04
-# One answer in so many is followed by additional bytes.
-ANSWERS_PER_FAULT = 40
-# When they arrive, counted from the arrival of the next request on the connection.
-DELAY_S = 0.01
-ADDITIONAL = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nnobody's bytes"
 
 
-class FaultyServer(Server):
-    """Sends additional bytes on a connection after an answer that was complete."""
+class LeavingServer(Server):
+    """Announces in the store and in its answers that it leaves, and ends in time."""
 
-    def __init__(self, trouble, *arguments, **options):
+    def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
-        self.trouble = trouble
-        self.answers = 0
-        self.faults = 0
-        self.spoilt = set()
+        self.leaving = False
+        self.arrivals = []
 
     def serve(self, peer, request):
-        if peer in self.spoilt:
-            self.spoilt.discard(peer)
-            threading.Timer(DELAY_S, self.send_additional, (peer,)).start()
+        self.arrivals.append((self.record.now(), request.header("Request-Id")))
         self.run(request)
-        self.answer_success(peer, request)
-        with self.lock:
-            self.answers += 1
-            if self.trouble and self.answers % ANSWERS_PER_FAULT == 0:
-                self.spoilt.add(peer)
-
-    def send_additional(self, peer):
-        try:
-            peer.send(ADDITIONAL)
-        except Closed:
-            return
-        self.faults += 1
-        self.record.line("server", self.id, "sends additional bytes")
-
-
-def call(case, relay, number, wrong):
-    """Sends one request after the other on a kept connection."""
+        headers = [("Server-Leaving", 1), ("Connection", "close")] if self.leaving else []
+        self.answer_success(peer, request, headers)
+
+
+def ask(case, relay, method, path, request_id):
+    """Sends a request on a new connection and returns the status, or None."""
     record = case.record
-    caller = connect(relay.front, 5)
-    end = time.monotonic() + TRAFFIC_S
-    sent = 0
-    while time.monotonic() < end:
-        request_id = f"view-{number}-{sent}"
-        sent += 1
-        record.line("caller sends", request_id)
-        try:
-            caller.send(
-                cases.encode_request("GET", HOST, f"/view/{sent}", request_id, DEADLINE_MS)
-            )
-            answer = caller.read()
-        except Closed:
-            record.line("caller's connection closed", request_id)
-            caller = connect(relay.front, 5)
-            continue
-        stamp = answer.header("Server-Stamp")
-        record.line("caller gets", request_id, answer.status, "stamp", stamp, answer.body)
-        if answer.status // 100 == 2 and (
-            stamp is None or request_id.encode() not in answer.body
-        ):
-            wrong.append(request_id)
-    caller.close()
+    record.line("caller sends", request_id, "to", relay.name)
+    body = b"an enquiry" if method == "POST" else None
+    try:
+        peer = connect(relay.front, DEADLINE_MS / 1000)
+        peer.send(cases.encode_request(method, HOST, path, request_id, DEADLINE_MS, body))
+        status = peer.read().status
+        peer.close()
+    except (Closed, OSError):
+        status = None
+    record.line("caller gets", request_id, status)
+    return status
+
+
+def ask_at_all(case, relays, method, path, label):
+    """Sends one request to each relay at the same time."""
+    statuses = {}
+
+    def ask_one(relay):
+        request_id = f"{label}-{relay.name}"
+        statuses[request_id] = ask(case, relay, method, path, request_id)
+
+    threads = [threading.Thread(target=ask_one, args=(relay,)) for relay in relays]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
+
+
+def warm_up(server):
+    """Writes the server's entry with each heartbeat until it is warm."""
+    for elapsed in range(4):
+        server.warm_up_left_ms = max(0, WARM_UP_MS - int(elapsed * HEARTBEAT_S * 1000))
+        revision = server.register()
+        server.record.line("server", server.id, "writes its entry, revision", revision)
+        if elapsed < 3:
+            time.sleep(HEARTBEAT_S)
 
 
 def play(case):
     record = case.record
     store = Store()
     case.closers.append(store.stop)
-    route = cases.route("view", HOST, "/view/", "idempotent", SERVICE, 2000, 400)
-    store.put("op/config", cases.config(1, [route], 110))
-    faulty = FaultyServer(case.trouble, record, store, SERVICE, "i-1", "zone-a", work_s=WORK_S)
-    sound = Server(record, store, SERVICE, "i-2", "zone-a", work_s=WORK_S)
-    for server in (faulty, sound):
+    routes = [
+        cases.route("enquiry", HOST, "/enquiry/", "non_idempotent", SERVICE, 2000, 400),
+        cases.route("record", HOST, "/record/", "idempotent", OTHER_SERVICE, 2000, 400),
+    ]
+    store.put("op/config", cases.config(1, routes, 110))
+    far = Server(record, store, SERVICE, "i-far", "zone-b", work_s=0.05)
+    other = Server(record, store, OTHER_SERVICE, "i-other", "zone-a")
+    near = LeavingServer(record, store, SERVICE, "i-near", "zone-a", work_s=0.5)
+    for server in (far, other, near):
         case.closers.append(server.stop)
-        server.register()
-    relay = case.start_relay("front-1", "zone-a", "127.0.0.1", store.address)
-    relay.await_ready()
-    wrong = []
-    callers = [
-        threading.Thread(target=call, args=(case, relay, number, wrong))
-        for number in range(CALLERS)
+    far.register()
+    other.register()
+    relays = [
+        case.start_relay(f"front-{n}", "zone-a", f"127.0.0.{n}", store.address)
+        for n in range(1, RELAYS + 1)
+    ]
+    for relay in relays:
+        relay.await_ready()
+    # Each relay has registered by then.
+    time.sleep(3)
+
+    copy = store.copy()
+    copied_at = time.monotonic()
+    record.line("a copy of the store is made, revision", copy[1])
+    warm_up(near)
+    time.sleep(max(0, copied_at + COPY_AGE_S - time.monotonic()))
+    if case.trouble:
+        record.line("the store goes away, revision", store.revision)
+        store.restore(copy, AWAY_S)
+        record.line("the store is back from the copy, revision", store.revision)
+    # What the servers wrote is written again.
+    record.line("server i-near writes its entry, revision", near.register())
+    time.sleep(1)
+    ask_at_all(case, relays, "POST", "/enquiry/1", "before")
+    time.sleep(STABILITY_MS / 1000)
+
+    near.leaving = True
+    revision = near.register("draining")
+    left_at = record.now()
+    record.line("the store confirms that i-near is draining, revision", revision)
+    # A few quiet seconds, in which only records are viewed.
+    ask_at = left_at + DRAIN_MS / 1000 + 0.15
+    while record.now() < ask_at - 0.5:
+        ask_at_all(case, relays, "GET", "/record/1", f"record-{record.now():.1f}")
+        time.sleep(0.3)
+    time.sleep(max(0, ask_at - record.now()))
+    end_at = left_at + DRAIN_MS / 1000 + SERVES_ON_S
+    ending = threading.Timer(max(0, end_at - record.now()), near.stop)
+    ending.start()
+    statuses = ask_at_all(case, relays, "POST", "/enquiry/2", "after")
+    ending.join()
+    record.line("server i-near has ended")
+
+    late = [
+        request_id
+        for at, request_id in near.arrivals
+        if at > left_at + DRAIN_MS / 1000 and request_id.startswith("after")
     ]
-    for caller in callers:
-        caller.start()
-    for caller in callers:
-        caller.join()
-    record.line(f"server i-1 gave {faulty.answers} answers, {faulty.faults} with more bytes after")
-    if case.trouble and not faulty.faults:
-        raise cases.CannotRun("the server sent no additional bytes")
-    for request_id in wrong:
-        record.line(f"MIXED: {request_id} got a success that no server gave to it")
-    return not wrong
+    lost = [r for r in late if statuses[r] != 200]
+    if late:
+        record.line(f"DRAIN: reached i-near over {DRAIN_MS} ms after: {' '.join(late)}")
+    if lost:
+        record.line(f"lost when i-near ended: {' '.join(lost)}")
+    return not late
 
 
 if __name__ == "__main__":
