--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,9 +20,8 @@
 WORK_S = 0.05
 # A binary body, well within max_body_bytes, which is 262144.
 BODY = bytes(100_000)
-# Callers that send a body at the same time, on connections of their own.
-UPLOADING = 24
-UPLOAD = bytes(120_000)
+# Callers that send a body of 8 to 10 KB at the same time, on connections of their own.
+UPLOADING = 40
 # More than three connections that are closed without an answer break the rule.
 MOST_CLOSED = 3
 STOP_TIMEOUT_S = 10
@@ -118,7 +117,7 @@
     for number in range(UPLOADING):
         other = Caller(case, relay, f"uploading-{number}")
         others.append(other)
-        uploads.append(threading.Thread(target=other.ask, args=(UPLOAD,)))
+        uploads.append(threading.Thread(target=other.ask, args=(bytes(8_000 + 50 * number),)))
     for upload in uploads:
         upload.start()
     for upload in uploads:
