--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -249,6 +249,13 @@
 def main(directory, play):
     """Plays a case and exits with its status."""
     case = Case(directory)
+
+    def interrupt(*_):
+        # The processes are ended whatever comes next.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        raise CannotRun("interrupted")
+
+    signal.signal(signal.SIGTERM, interrupt)
     try:
         status = HELD if play(case) else BROKEN
     except CannotRun as fault:
