--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -55,8 +55,8 @@
 class Case:
     """Processes and settings of one run. Ends all processes that it started."""
 
-    def __init__(self, directory):
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(self, directory, trouble):
+        self.trouble = trouble
         self.record = Record(os.path.join(directory, "record.txt"))
         self.folder = tempfile.TemporaryDirectory(prefix="quetzallead-review-")
         self.relays = []
@@ -246,9 +246,9 @@
     return encode(f"{method} {path} HTTP/1.1", headers, body)
 
 
-def main(directory, play):
-    """Plays a case and exits with its status."""
-    case = Case(directory)
+def main(directory, play, trouble):
+    """Plays a case, with the disruption if 'trouble' is set, and exits with its status."""
+    case = Case(directory, trouble)
 
     def interrupt(*_):
         # The processes are ended whatever comes next.
