--- a/src/core/relay/BackendPool.cpp
+++ b/src/core/relay/BackendPool.cpp
@@ -1,4 +1,5 @@
 #include "core/relay/BackendPool.h"
+#include "core/relay/ServerRestriction.h"
 #include <algorithm>
 #include <cmath>
 
@@ -31,10 +32,6 @@
 static constexpr double ScoreJitter = 0.15;
 /// An attempt is overdue after this multiple of the expected response time.
 static constexpr double OverdueRatio = 3.0;
-/// Weight of a new outcome in a server's loss rate, and the time constant of
-/// the rate's exponential decay.
-static constexpr double LossWeight = 0.2;
-static constexpr Duration LossDecayTime = absl::Seconds(3);
 /// Cost of a certain loss, in multiples of the expected response time. A retry
 /// costs a few; a request that must not be retried fails.
 static constexpr double LossCost = 4;
@@ -50,14 +47,13 @@
 /// Requests that a server's limit must still allow for a hedge: one is left for
 /// a first attempt.
 static constexpr double MinTokensToHedge = 2;
-/// Maximum number of queued requests per service.
-static constexpr std::size_t QueueLimit = 64;
 
 BackendPool::BackendPool(std::string GivenZone, std::uint64_t Seed,
                          PoolPolicy GivenPolicy,
                          std::shared_ptr<const SharingInstances> GivenSharing)
     : Zone(std::move(GivenZone)), Policy(GivenPolicy),
-      Sharing(std::move(GivenSharing)), Engine(Seed) {}
+      Sharing(std::move(GivenSharing)), Queue(GivenPolicy.Order), Engine(Seed) {
+}
 
 void BackendPool::upsert(const DiscoveredServer &Info, TimePoint Now) {
   ServerRef &S = Servers[Info.Id];
@@ -71,8 +67,13 @@
   }
   S->Info = Info;
   S->AcceptsAttempts = !Info.Draining;
+  S->Evacuated = EvacuatedZones.count(Info.Zone) != 0;
   if (Info.WarmUpLeft > absl::ZeroDuration())
     S->WarmUpEndsAt = Now + Info.WarmUpLeft;
+  quetzallead::setWarmUpRate(S->Warm, WarmUpRate, Now);
+  // The first entry of an incarnation may be older than it looks.
+  if (!NewIncarnation || Info.WarmUpLeft > absl::ZeroDuration())
+    noteWarmUpLeft(S->Warm, Info.WarmUpLeft, Now);
 }
 
 void BackendPool::remove(const std::string &Id, TimePoint) {
@@ -83,27 +84,47 @@
   Servers.erase(Found);
 }
 
+void BackendPool::setEvacuatedZones(std::set<std::string> Zones,
+                                    TimePoint Now) {
+  EvacuatedZones = std::move(Zones);
+  for (const auto &[Id, S] : Servers) {
+    const bool Before = S->Evacuated;
+    S->Evacuated = EvacuatedZones.count(S->Info.Zone) != 0;
+    if (Before && !S->Evacuated)
+      noteMayBeCold(S->Warm, Now);
+  }
+}
+
+void BackendPool::setWarmUpRate(double PerSecond, TimePoint Now) {
+  if (WarmUpRate == PerSecond)
+    return;
+  WarmUpRate = PerSecond;
+  for (const auto &[Id, S] : Servers)
+    quetzallead::setWarmUpRate(S->Warm, PerSecond, Now);
+}
+
 void BackendPool::setConnectionShare(int Share, TimePoint) {
   ConnectionShare = std::max(1, Share);
 }
 
+static bool isAllowed(const PoolServer &S, const AllowedZones &Zones) {
+  return Zones == nullptr || Zones->count(S.Info.Zone) != 0;
+}
+
 bool BackendPool::eligible(const PoolServer &S,
                            const AttemptPermitRequest &Request, TimePoint Now) {
-  if (!S.AcceptsAttempts || !permitsAttempt(S.Pause, Now) ||
-      (S.Unreachable && !Request.AllowUnreachable))
+  if (!S.takesAttempts() || !permitsAttempt(S.Pause, Now) ||
+      (S.Unreachable && !Request.AllowUnreachable) ||
+      !isAllowed(S, Request.Zones))
     return false;
-  return std::none_of(Request.Excluded.begin(), Request.Excluded.end(),
-                      [&](const ServerRef &E) { return E.get() == &S; });
-}
-
-LimitShare BackendPool::limitShare(const PoolServer &S, TimePoint Now) const {
-  return Sharing == nullptr || !isLimited(S.Limit)
-             ? LimitShare()
-             : Sharing->shareOf(S.Info.Id, S.Limit.PerSecond, Now);
+  const auto IsThis = [&](const ServerRef &E) { return E.get() == &S; };
+  if (!Request.Only.empty())
+    return std::any_of(Request.Only.begin(), Request.Only.end(), IsThis);
+  return std::none_of(Request.Excluded.begin(), Request.Excluded.end(), IsThis);
 }
 
 ServerState BackendPool::state(const PoolServer &S, TimePoint Now) {
-  if (!S.AcceptsAttempts)
+  if (!S.takesAttempts())
     return ServerState::Leaving;
   if (S.Unreachable)
     return ServerState::Unreachable;
@@ -119,10 +140,12 @@
   for (const auto &[Id, S] : Servers) {
     ++Out.Servers[static_cast<std::size_t>(state(*S, Now))];
     Out.Limited += isLimited(S->Limit) ? 1 : 0;
+    Out.Cold += isCold(S->Warm, Now) ? 1 : 0;
     Out.InFlight += S->Pending.size();
     Out.IdleConnections += static_cast<std::size_t>(S->IdleConnections);
   }
   Out.Queued = Queue.size();
+  Out.Displaced = Queue.displacedCount();
   Out.ConnectionShare = ConnectionShare;
   return Out;
 }
@@ -161,27 +184,17 @@
   return Stats.expected() * slowness(S, Now) * (1.0 + loadAhead(S, Now));
 }
 
-static double lossRate(const PoolServer &S, TimePoint Now) {
-  if (S.LossRate <= 0)
-    return 0;
-  return S.LossRate *
-         std::exp(-absl::FDivDuration(Now - S.LossRateAt, LossDecayTime));
-}
-
-static void recordLossSample(PoolServer &S, bool Lost, TimePoint Now) {
-  S.LossRate = lossRate(S, Now) * (1 - LossWeight) + (Lost ? LossWeight : 0);
-  S.LossRateAt = Now;
-}
-
 double BackendPool::score(const PoolServer &S,
                           const AttemptPermitRequest &Request,
                           TimePoint Now) const {
   Duration Expected = expectedCompletion(S, *Request.Stats, Now);
   const double Cost =
       Request.Kind == RequestKind::AtMostOnce ? NonRetryableLossCost : LossCost;
-  const double Loss = lossRate(S, Now);
+  const double Loss = outcomeRate(S.Losses, Now);
   Expected *= 1.0 + Cost * Loss;
-  Expected += Request.Objective * (Policy.LossPenalty * Loss);
+  Expected +=
+      Request.Objective * (Policy.LossPenalty * Loss +
+                           Policy.ShedPenalty * outcomeRate(S.Sheds, Now));
   if (S.Info.Zone != Zone)
     Expected += Request.Objective * Policy.CrossZonePenalty;
   if (S.IdleConnections <= 0)
@@ -235,12 +248,11 @@
     if (!Request.AllowUnhealthy &&
         (T != Tier::Healthy || loadAhead(*S, Now) >= Policy.MaxHedgeTargetLoad))
       continue;
-    if (isLimited(S->Limit)) {
-      const LimitShare Share = limitShare(*S, Now);
+    if (isRestricted(*S, Now)) {
       if (!Request.AllowUnhealthy &&
-          limitTokens(S->Limit, Share, Now) < MinTokensToHedge)
+          restrictedTokens(*S, Sharing.get(), Now) < MinTokensToHedge)
         continue;
-      const Duration Wait = limitWait(S->Limit, Share, Now);
+      const Duration Wait = restrictionWait(*S, Sharing.get(), Now);
       if (Now + Wait > Request.LatestStart)
         continue;
       if (Wait > absl::ZeroDuration()) {
@@ -273,23 +285,7 @@
       PendingAttempt{Now, Now + OverdueAfter, Request.Suspected});
   if (isPaused(S.Pause, Now))
     ++S.Pause.Tries;
-  spendLimit(S.Limit, limitShare(S, Now), Now);
-}
-
-/// True if \p New, which arrived later, is served before \p Waiting.
-static bool goesBefore(const AttemptPermitRequest &New,
-                       const AttemptPermitRequest &Waiting, QueueOrder Order) {
-  if (New.Priority != Waiting.Priority)
-    return New.Priority < Waiting.Priority;
-  switch (Order) {
-  case QueueOrder::OldestFirst:
-    return false;
-  case QueueOrder::NewestFirst:
-    return true;
-  case QueueOrder::EarliestDeadlineFirst:
-    return New.ObjectiveDeadline < Waiting.ObjectiveDeadline;
-  }
-  return false;
+  spendRestrictions(S, Sharing.get(), Now);
 }
 
 AttemptPermit BackendPool::acquire(const AttemptPermitRequest &Request,
@@ -303,26 +299,21 @@
     P.Outcome = AttemptPermitOutcome::Granted;
     return P;
   }
-  if (!AnyEligible || !MayWait || Queue.size() >= QueueLimit)
+  if (!AnyEligible || !MayWait)
     return P;
+  if (Queue.full()) {
+    std::optional<WaitingAttempt> Displaced = Queue.displaceFor(Request);
+    if (!Displaced)
+      return P;
+    Displaced->Notify(nullptr, Now);
+  }
   P.Outcome = AttemptPermitOutcome::Queued;
-  P.WaitId = NextWaitId++;
-  auto Position =
-      std::find_if(Queue.begin(), Queue.end(), [&](const QueuedRequest &Q) {
-        return goesBefore(Request, Q.Request, Policy.Order);
-      });
-  Queue.insert(Position, QueuedRequest{P.WaitId, Request, std::move(Notify)});
+  P.WaitId = Queue.add(Request, std::move(Notify));
   announceNextPermit(Now);
   return P;
 }
 
-void BackendPool::cancelWait(std::uint64_t WaitId) {
-  auto Found =
-      std::find_if(Queue.begin(), Queue.end(),
-                   [&](const QueuedRequest &Q) { return Q.Id == WaitId; });
-  if (Found != Queue.end())
-    Queue.erase(Found);
-}
+void BackendPool::cancelWait(std::uint64_t WaitId) { Queue.cancel(WaitId); }
 
 static void ejectAfterFailure(PoolServer &S, TimePoint Now) {
   const int Doublings = std::clamp(S.Failures - 1, 0, 8);
@@ -354,11 +345,14 @@
   case AttemptResult::Answered:
     S.Failures = 0;
     S.EjectedUntil = absl::InfinitePast();
-    recordLossSample(S, false, Now);
+    recordOutcomeSample(S.Losses, false, Now);
+    recordOutcomeSample(S.Sheds, false, Now);
     recordSlownessSample(S, Previous, Ratio, Now);
     Stats.record(Report.Elapsed, Previous, Now);
     return;
   case AttemptResult::Shed:
+    recordOutcomeSample(S.Sheds, true, Now);
+    [[fallthrough]];
   case AttemptResult::Starting:
   case AttemptResult::Expired:
     S.EjectedUntil =
@@ -375,7 +369,7 @@
     return;
   case AttemptResult::Lost:
   case AttemptResult::BadReply:
-    recordLossSample(S, true, Now);
+    recordOutcomeSample(S.Losses, true, Now);
     if (++S.Failures >= FailuresToEject)
       ejectAfterFailure(S, Now);
     return;
@@ -419,7 +413,8 @@
   S.LostAt = Now;
   S.Slowness = 1;
   S.SlowStreak = 0;
-  S.LossRate = 0;
+  S.Losses = OutcomeRate();
+  S.Sheds = OutcomeRate();
   S.Failures = 0;
   S.EjectedUntil = absl::InfinitePast();
 }
@@ -429,25 +424,26 @@
 }
 
 bool BackendPool::serveOne(bool Late, TimePoint Now) {
-  for (auto It = Queue.begin(); It != Queue.end(); ++It) {
-    if ((It->Request.ObjectiveDeadline <= Now) != Late)
+  for (std::size_t I = 0; I < Queue.size(); ++I) {
+    const AttemptPermitRequest &Request = Queue.attempts()[I].Request;
+    if ((Request.ObjectiveDeadline <= Now) != Late)
       continue;
     bool AnyEligible = false;
-    ServerRef S = choose(It->Request, Now, AnyEligible);
+    ServerRef S = choose(Request, Now, AnyEligible);
     // A later request may still get a slot: excluded servers differ.
     if (S == nullptr && AnyEligible)
       continue;
     if (S != nullptr)
-      addPending(*S, It->Request, Now);
-    AttemptPermitCallback Notify = std::move(It->Notify);
-    Queue.erase(It);
-    Notify(S, Now);
+      addPending(*S, Request, Now);
+    Queue.serve(I).Notify(S, Now);
     return true;
   }
   return false;
 }
 
 void BackendPool::grantPermits(TimePoint Now) {
+  while (std::optional<WaitingAttempt> Expired = Queue.takeExpired(Now))
+    Expired->Notify(nullptr, Now);
   // The callback may change the queue, so each step starts from the front.
   while (serveOne(false, Now) || serveOne(true, Now))
     ;
@@ -459,9 +455,9 @@
     return;
   Duration Shortest = absl::InfiniteDuration();
   for (const auto &[Id, S] : Servers) {
-    if (!S->AcceptsAttempts || !isLimited(S->Limit))
+    if (!S->takesAttempts() || !isRestricted(*S, Now))
       continue;
-    const Duration Wait = limitWait(S->Limit, limitShare(*S, Now), Now);
+    const Duration Wait = restrictionWait(*S, Sharing.get(), Now);
     if (Wait > absl::ZeroDuration())
       Shortest = std::min(Shortest, Wait);
   }
@@ -474,15 +470,15 @@
   double Tokens = 0;
   bool AnyLimited = false;
   for (const auto &[Id, S] : Servers) {
-    if (!S->AcceptsAttempts || S->Unreachable || !permitsAttempt(S->Pause, Now))
+    if (!S->takesAttempts() || S->Unreachable || !permitsAttempt(S->Pause, Now))
       continue;
-    if (!isLimited(S->Limit))
+    if (!isRestricted(*S, Now))
       return absl::ZeroDuration();
     AnyLimited = true;
-    const LimitShare Share = limitShare(*S, Now);
-    Rate += limitRate(S->Limit, Share);
-    if (Share.Fraction > 0)
-      Tokens += limitTokens(S->Limit, Share, Now);
+    const double ServerRate = restrictedRate(*S, Sharing.get(), Now);
+    Rate += ServerRate;
+    if (ServerRate > 0)
+      Tokens += restrictedTokens(*S, Sharing.get(), Now);
   }
   if (!AnyLimited)
     return absl::ZeroDuration();
@@ -493,16 +489,16 @@
   return Rate > 0 ? absl::Seconds(Lacking / Rate) : absl::InfiniteDuration();
 }
 
-Duration BackendPool::expectedDelay(const RouteStats &Stats,
+Duration BackendPool::expectedDelay(const AttemptPermitRequest &Request,
                                     TimePoint Now) const {
   Duration Best = absl::InfiniteDuration();
   int InFlight = 0;
   const bool AllLimited = limitDelay(Now) > absl::ZeroDuration();
   for (const auto &[Id, S] : Servers) {
-    if (!S->AcceptsAttempts || S->Unreachable || !permitsAttempt(S->Pause, Now))
+    if (!S->takesAttempts() || S->Unreachable || !permitsAttempt(S->Pause, Now))
       continue;
     if (!AllLimited &&
-        limitWait(S->Limit, limitShare(*S, Now), Now) > absl::ZeroDuration())
+        restrictionWait(*S, Sharing.get(), Now) > absl::ZeroDuration())
       continue;
     InFlight += S->inFlight();
     // Unconfirmed slowness must not cause rejections: a single slow response
@@ -510,14 +506,14 @@
     const bool Confirmed = S->SlowStreak >= ConfirmingResponses;
     const double UnconfirmedSlowness =
         Confirmed ? 1 : std::max(1.0, slowness(*S, Now));
-    Best = std::min(Best,
-                    expectedCompletion(*S, Stats, Now) / UnconfirmedSlowness);
+    Best = std::min(Best, expectedCompletion(*S, *Request.Stats, Now) /
+                              UnconfirmedSlowness);
   }
-  if (Queue.empty() || Best == absl::InfiniteDuration())
+  const std::size_t Ahead = Queue.countAhead(Request);
+  if (Ahead == 0 || Best == absl::InfiniteDuration())
     return Best;
   // The queue advances whenever an attempt in flight completes.
-  const double Rounds =
-      static_cast<double>(Queue.size()) / std::max(1, InFlight);
+  const double Rounds = static_cast<double>(Ahead) / std::max(1, InFlight);
   return Best * (1.0 + Rounds);
 }
 
@@ -528,7 +524,7 @@
     return Wait;
   double SlotsPerSecond = 0;
   for (const auto &[Id, S] : Servers)
-    if (S->AcceptsAttempts && !S->Unreachable)
+    if (S->takesAttempts() && !S->Unreachable)
       SlotsPerSecond += std::min(
           S->Limit.PerSecond,
           std::max(1, S->Info.Slots) /
@@ -539,23 +535,25 @@
   return RejectedRetries.reserve(Wait, Interval, MaxDelay, Now);
 }
 
-bool BackendPool::hasReachableServer(TimePoint Now) const {
-  return std::any_of(Servers.begin(), Servers.end(), [Now](const auto &Item) {
+bool BackendPool::hasReachableServer(TimePoint Now,
+                                     const AllowedZones &Zones) const {
+  return std::any_of(Servers.begin(), Servers.end(), [&](const auto &Item) {
     const PoolServer &S = *Item.second;
-    return S.AcceptsAttempts && !S.Unreachable && permitsAttempt(S.Pause, Now);
+    return S.takesAttempts() && !S.Unreachable &&
+           permitsAttempt(S.Pause, Now) && isAllowed(S, Zones);
   });
 }
 
 bool BackendPool::hasConnectableServer() const {
   return std::any_of(Servers.begin(), Servers.end(), [](const auto &Item) {
-    return Item.second->AcceptsAttempts && !Item.second->Unreachable;
+    return Item.second->takesAttempts() && !Item.second->Unreachable;
   });
 }
 
 bool BackendPool::outOfReach() const {
   bool AnyListed = false;
   for (const auto &[Id, S] : Servers) {
-    if (!S->AcceptsAttempts)
+    if (!S->takesAttempts())
       continue;
     if (!S->OutOfReach)
       return false;
@@ -569,7 +567,7 @@
     return absl::ZeroDuration();
   Duration Left = absl::InfiniteDuration();
   for (const auto &[Id, S] : Servers)
-    if (S->AcceptsAttempts && !S->Unreachable)
+    if (S->takesAttempts() && !S->Unreachable)
       Left = std::min(Left, S->Pause.EndsAt - Now);
   return Left == absl::InfiniteDuration() ? absl::ZeroDuration() : Left;
 }
--- a/src/core/relay/BackendPool.h
+++ b/src/core/relay/BackendPool.h
@@ -1,55 +1,25 @@
 #ifndef QUETZALLEAD_CORE_RELAY_BACKENDPOOL_H
 #define QUETZALLEAD_CORE_RELAY_BACKENDPOOL_H
 
+#include "core/relay/AttemptPermitRequest.h"
 #include "core/relay/PoolPolicy.h"
-#include "core/relay/PoolServer.h"
-#include "core/relay/RequestKind.h"
 #include "core/relay/RetrySchedule.h"
 #include "core/relay/RouteStats.h"
 #include "core/relay/ServiceSnapshot.h"
 #include "core/relay/SharingInstances.h"
+#include "core/relay/WaitQueue.h"
 #include "quetzallead/AttemptResult.h"
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <pcg_random.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace quetzallead {
 
-using ServerRef = std::shared_ptr<PoolServer>;
-
-/// A request for one slot at a backend server.
-struct AttemptPermitRequest {
-  const RouteStats *Stats = nullptr;
-  RequestKind Kind = RequestKind::Idempotent;
-  /// Time within which the request should be answered.
-  Duration Objective = absl::Milliseconds(100);
-  /// Priority in the queue; 0 is served first.
-  int Priority = 0;
-  /// A response after this time has little value; requests that can still be
-  /// in time are served first.
-  TimePoint ObjectiveDeadline = absl::InfiniteFuture();
-  /// A permit granted after this time is of no use.
-  TimePoint LatestStart = absl::InfiniteFuture();
-  /// Servers that must not be chosen.
-  std::vector<ServerRef> Excluded;
-  /// If false, only a healthy server with low load is chosen; used for hedges.
-  bool AllowUnhealthy = true;
-  /// If false, servers that are marked unreachable are not chosen, not even as
-  /// a last resort.
-  bool AllowUnreachable = true;
-  /// A server has ended while it had a request of this content.
-  bool Suspected = false;
-};
-
-/// Called when a queued request is granted a slot, with null if no eligible
-/// server is left.
-using AttemptPermitCallback = std::function<void(ServerRef, TimePoint Now)>;
-
 enum class AttemptPermitOutcome { Granted, Queued, None };
 
 struct AttemptPermit {
@@ -88,6 +58,11 @@
   /// a known id starts without the statistics of the previous one.
   void upsert(const DiscoveredServer &Info, TimePoint Now);
   void remove(const std::string &Id, TimePoint Now);
+  /// Sets the availability zones whose servers get no attempts. Call
+  /// grantPermits() afterwards.
+  void setEvacuatedZones(std::set<std::string> Zones, TimePoint Now);
+  /// Sets what each server takes while cold; 0 for no cap.
+  void setWarmUpRate(double PerSecond, TimePoint Now);
   /// Sets the maximum number of connections to each server, at least 1.
   void setConnectionShare(int Share, TimePoint Now);
   int connectionShare() const { return ConnectionShare; }
@@ -111,9 +86,9 @@
   /// applying changes of the server set or of the limits.
   void grantPermits(TimePoint Now);
 
-  /// True if a server may get an attempt at \p Now and is not marked
-  /// unreachable.
-  bool hasReachableServer(TimePoint Now) const;
+  /// True if a server in one of \p Zones may get an attempt at \p Now and is
+  /// not marked unreachable.
+  bool hasReachableServer(TimePoint Now, const AllowedZones &Zones = {}) const;
   /// True if a server accepts attempts and is not marked unreachable, even if
   /// it has asked for a pause.
   bool hasConnectableServer() const;
@@ -127,11 +102,11 @@
   /// zero if a reachable server names none, infinite if this instance has no
   /// share of any.
   Duration limitDelay(TimePoint Now) const;
-  /// This instance's share of the limit of \p S.
-  LimitShare limitShare(const PoolServer &S, TimePoint Now) const;
   /// Expected response time of a request that arrives now, including the queue
   /// but not limitDelay(); infinite if no server is reachable.
-  Duration expectedDelay(const RouteStats &Stats, TimePoint Now) const;
+  /// Only the queued attempts count that \p Request does not outrank.
+  Duration expectedDelay(const AttemptPermitRequest &Request,
+                         TimePoint Now) const;
   /// Delay after which the caller should retry a request that is rejected now:
   /// at least \p Wait, with retries spaced by the service rate that this
   /// instance gets as one of \p Instances. \p MaxDelay is the longest delay
@@ -148,11 +123,6 @@
   const std::map<std::string, ServerRef> &servers() const { return Servers; }
 
 private:
-  struct QueuedRequest {
-    std::uint64_t Id = 0;
-    AttemptPermitRequest Request;
-    AttemptPermitCallback Notify;
-  };
   static bool eligible(const PoolServer &S, const AttemptPermitRequest &Request,
                        TimePoint Now);
   /// Known requests in progress or queued at the server, per slot.
@@ -178,10 +148,10 @@
   const PoolPolicy Policy;
   const std::shared_ptr<const SharingInstances> Sharing;
   int ConnectionShare = 1;
+  std::set<std::string> EvacuatedZones;
+  double WarmUpRate = 0;
   std::map<std::string, ServerRef> Servers;
-  /// Ordered by rank, then by Policy.Order.
-  std::deque<QueuedRequest> Queue;
-  std::uint64_t NextWaitId = 1;
+  WaitQueue Queue;
   RetrySchedule RejectedRetries;
   pcg32 Engine;
 };
--- a/src/core/relay/PoolPolicy.h
+++ b/src/core/relay/PoolPolicy.h
@@ -31,6 +31,10 @@
   /// attempts is limited, and a part whose last attempt is lost is missing from
   /// the response.
   double LossPenalty = 2;
+  /// Score penalty of a server that turns every attempt away, as a share of the
+  /// request's objective: the attempt costs one of the route's servers and
+  /// extra load.
+  double ShedPenalty = 1;
   QueueOrder Order = QueueOrder::OldestFirst;
   /// Hedges are not sent to servers with at least this load, in requests per
   /// slot: a hedge at a loaded server delays other requests by as much as it
--- a/src/core/relay/PoolServer.h
+++ b/src/core/relay/PoolServer.h
@@ -2,8 +2,10 @@
 #define QUETZALLEAD_CORE_RELAY_POOLSERVER_H
 
 #include "core/relay/DiscoveredServer.h"
+#include "core/relay/OutcomeRate.h"
 #include "core/relay/ServerLimit.h"
 #include "core/relay/ServerPause.h"
+#include "core/relay/WarmUp.h"
 #include "quetzallead/LoadReport.h"
 #include "quetzallead/Time.h"
 #include <vector>
@@ -26,6 +28,8 @@
   /// False once the feed or the server itself reports that it has gone or is
   /// draining.
   bool AcceptsAttempts = true;
+  /// The operator wants its zone to get no requests.
+  bool Evacuated = false;
   /// End of the warm-up period that the server announced.
   TimePoint WarmUpEndsAt = absl::InfinitePast();
   /// Attempts in flight, oldest first.
@@ -37,10 +41,10 @@
   int SlowStreak = 0;
   LoadReport Reported;
   TimePoint ReportedAt = absl::InfinitePast();
-  /// Share of the sent attempts that ended without a valid response, at
-  /// LossRateAt; decays exponentially.
-  double LossRate = 0;
-  TimePoint LossRateAt = absl::InfinitePast();
+  /// Attempts that ended without a valid response.
+  OutcomeRate Losses;
+  /// Attempts that the server turned away.
+  OutcomeRate Sheds;
   /// Connection failures, timeouts and lost or malformed responses since the
   /// last valid response.
   int Failures = 0;
@@ -49,6 +53,7 @@
   TimePoint EjectedUntil = absl::InfinitePast();
   ServerPause Pause;
   ServerLimit Limit;
+  WarmUp Warm;
   /// Set when no connection can be established, or a request was not answered
   /// in time; cleared once a connection is established or a response arrives.
   bool Unreachable = false;
@@ -65,6 +70,9 @@
   /// Open connections without a request.
   int IdleConnections = 0;
 
+  /// Whether it may get attempts, as far as the feed, the server itself and the
+  /// operator say.
+  bool takesAttempts() const { return AcceptsAttempts && !Evacuated; }
   int inFlight() const { return static_cast<int>(Pending.size()); }
   /// Whether an attempt has become overdue after \p Since.
   bool becameOverdue(TimePoint Since, TimePoint Now) const {
--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -1,5 +1,4 @@
 #include "core/relay/RelayRequest.h"
-#include "absl/strings/str_cat.h"
 #include <algorithm>
 #include <cmath>
 
@@ -10,6 +9,9 @@
 /// Fraction of a budget that hedges leave while more than two parts of a survey
 /// are open; hedging the last parts shortens the response time most.
 static constexpr double EarlyHedgeBudgetReserve = 0.5;
+/// Fraction of a budget that attempts at servers that have turned the part away
+/// leave for attempts at others, which are more likely to succeed.
+static constexpr double ResendBudgetReserve = 0.25;
 /// Delay before a withheld hedge, or a retry that the budget did not allow, is
 /// tried again.
 static constexpr Duration ExtraAttemptRecheckDelay = absl::Milliseconds(10);
@@ -24,6 +26,8 @@
 static constexpr std::size_t MinPartsForCommonDelay = 5;
 /// Latest hedge, as a share of the objective.
 static constexpr double MaxHedgeShare = 0.35;
+/// Most parts without an answer that count as deciding their survey.
+static constexpr std::size_t DecisiveParts = 2;
 /// Minimum Retry-After of a rejection; a new connection takes the caller a few
 /// milliseconds in any case.
 static constexpr Duration MinRetryAfter = absl::Milliseconds(20);
@@ -43,6 +47,16 @@
 /// within about this time.
 static constexpr Duration UnservableRetryAfter = absl::Milliseconds(500);
 
+/// Returns whether \p Server was one of \p Servers.
+static bool eraseServer(std::vector<ServerRef> &Servers,
+                        const ServerRef &Server) {
+  auto Found = std::find(Servers.begin(), Servers.end(), Server);
+  if (Found == Servers.end())
+    return false;
+  Servers.erase(Found);
+  return true;
+}
+
 RelayRequest::RelayRequest(RelayPlan InitialPlan)
     : Plan(std::move(InitialPlan)), Parts(Plan.Targets.size()) {}
 
@@ -98,6 +112,17 @@
   return Current != nullptr ? std::min(Limit, Current->MaxAttempts) : Limit;
 }
 
+bool RelayRequest::mayAttempt(const Part &P, TimePoint Now) const {
+  // A part that a server may have run is not sent to another one again.
+  return P.Sent < maxAttempts() ||
+         (P.NotRunServers.size() == P.TriedServers.size() &&
+          std::any_of(P.NotRunServers.begin(), P.NotRunServers.end(),
+                      [&](const ServerRef &S) {
+                        return S->takesAttempts() &&
+                               permitsAttempt(S->Pause, Now);
+                      }));
+}
+
 int RelayRequest::sharedAttempts() const {
   return isIdempotent() ? Plan.AskersLimit : 0;
 }
@@ -232,6 +257,28 @@
   updateNextTimer();
 }
 
+std::vector<ServiceOutlook> RelayRequest::outlook(TimePoint Now) const {
+  const AttemptPermitRequest Request = permitRequest(Parts[0]);
+  std::vector<ServiceOutlook> Out;
+  Out.reserve(Plan.Targets.size());
+  for (const RelayTarget &T : Plan.Targets) {
+    ServiceOutlook S;
+    // Admission is the home's decision; it knows the load of the servers.
+    const Duration Delay =
+        isForwarded() && T.Pool->hasReachableServer(Now, Plan.Zones)
+            ? absl::ZeroDuration()
+            : T.Pool->expectedDelay(Request, Now);
+    // What the limits of servers delay is known, not estimated.
+    S.Wait = T.Pool->limitDelay(Now) + Delay * ExpectedDelayFraction;
+    S.PauseLeft = T.Pool->pauseLeft(Now);
+    // Delays are those of all servers.
+    S.Reachable =
+        Plan.Zones == nullptr || T.Pool->hasReachableServer(Now, Plan.Zones);
+    Out.push_back(S);
+  }
+  return Out;
+}
+
 void RelayRequest::start(TimePoint Now, RelayActions &Out) {
   for (RelayTarget &T : Plan.Targets)
     if (!Plan.Repeated)
@@ -243,55 +290,10 @@
     finish(failureResult(Now), Out);
     return;
   }
-  const TimePoint Cutoff = latestStart();
-  std::vector<bool> InTime;
-  std::vector<const RelayTarget *> Paused;
-  Duration LongestWait = absl::ZeroDuration();
-  const RelayTarget *Slowest = nullptr;
-  std::size_t InTimeCount = 0;
-  for (const RelayTarget &T : Plan.Targets) {
-    // Admission is the home's decision; it knows the load of the servers.
-    const Duration Delay = isForwarded() && T.Pool->hasReachableServer(Now)
-                               ? absl::ZeroDuration()
-                               : T.Pool->expectedDelay(*Plan.Stats, Now);
-    // What the limits of servers delay is known, not estimated.
-    const Duration Wait =
-        T.Pool->limitDelay(Now) + Delay * ExpectedDelayFraction;
-    InTime.push_back(Now + Wait <= Cutoff);
-    if (InTime.back())
-      ++InTimeCount;
-    else if (T.Pool->pauseLeft(Now) > absl::ZeroDuration())
-      Paused.push_back(&T);
-    else if (Wait != absl::InfiniteDuration() && Wait > LongestWait) {
-      LongestWait = Wait;
-      Slowest = &T;
-    }
-  }
-  if (InTimeCount < neededParts()) {
-    if (Plan.Repeated) {
-      finish(failureResult(Now), Out);
-      return;
-    }
-    if (Slowest != nullptr) {
-      finish(rejection(*Slowest, LongestWait - (Cutoff - Now), Now), Out);
-      return;
-    }
-    const std::size_t Lacking = neededParts() - InTimeCount;
-    if (Paused.size() >= Lacking) {
-      // The request can be served once enough of the pauses are over.
-      auto Decisive = Paused.begin() + static_cast<std::ptrdiff_t>(Lacking - 1);
-      std::nth_element(Paused.begin(), Decisive, Paused.end(),
-                       [Now](const RelayTarget *A, const RelayTarget *B) {
-                         return A->Pool->pauseLeft(Now) <
-                                B->Pool->pauseLeft(Now);
-                       });
-      finish(rejection(**Decisive, absl::ZeroDuration(), Now), Out);
-      return;
-    }
-    RelayResult V;
-    V.Outcome = RelayOutcome::Unservable;
-    V.RetryAfter = UnservableRetryAfter;
-    finish(std::move(V), Out);
+  const AdmissionDecision Admission =
+      decideAdmission(outlook(Now), neededParts(), latestStart() - Now);
+  if (Admission.Verdict != AdmissionVerdict::Admit) {
+    finish(Plan.Repeated ? failureResult(Now) : rejection(Admission, Now), Out);
     return;
   }
   for (std::size_t I = 0; I < Parts.size() && !Answered; ++I) {
@@ -299,7 +301,7 @@
     const bool Affordable =
         !Plan.Repeated || isForwarded() ||
         Plan.Targets[I].Budget->spend(0, Plan.BudgetSharers, Now);
-    if (InTime[I] && Affordable)
+    if (Admission.InTime[I] && Affordable)
       acquirePermit(I, AttemptCause::First, Now, Out);
     else
       failPart(I);
@@ -314,9 +316,14 @@
   Request.Kind = Plan.MatchedRoute->Kind;
   Request.Objective = Plan.MatchedRoute->Objective;
   Request.Priority = Plan.MatchedRoute->Priority;
+  Request.AccountPriority = Plan.AccountPriority;
+  Request.Account = Plan.Account;
+  Request.Zones = Plan.Zones;
   Request.ObjectiveDeadline = Plan.ObjectiveDeadline;
   Request.LatestStart = latestStart();
   Request.Excluded = P.TriedServers;
+  if (P.Sent >= maxAttempts())
+    Request.Only = P.NotRunServers;
   if (isForwarded() && mayHaveExecuted())
     for (const auto &[Name, Home] : Plan.Targets[0].Pool->servers())
       if (!Home->ChecksRepeats)
@@ -324,6 +331,8 @@
   // An instance that reaches no home serves or rejects the request itself.
   Request.AllowUnreachable = !isForwarded();
   Request.Suspected = suspected();
+  Request.Decisive =
+      isSurvey() && Parts.size() - AnsweredParts <= DecisiveParts;
   return Request;
 }
 
@@ -337,7 +346,7 @@
         Parts[Index].WaitId = 0;
         RelayActions Next;
         const bool Allowed =
-            !blocked() && maySend() && Parts[Index].Sent < maxAttempts();
+            !blocked() && maySend() && mayAttempt(Parts[Index], When);
         if (Server != nullptr && Allowed) {
           send(Index, Server, Cause, When, Next);
         } else {
@@ -362,9 +371,11 @@
 void RelayRequest::send(std::size_t Index, ServerRef Server, AttemptCause Cause,
                         TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
-  ++P.Sent;
+  if (!eraseServer(P.NotRunServers, Server)) {
+    ++P.Sent;
+    P.TriedServers.push_back(Server);
+  }
   ++P.InFlight;
-  P.TriedServers.push_back(Server);
   P.RetryAt = absl::InfiniteFuture();
   P.HedgeAt = absl::InfiniteFuture();
   P.ClaimAt = absl::InfiniteFuture();
@@ -453,12 +464,12 @@
   Plan.Targets[Index].Pool->release(A.Server, A.Sent, Report, *Plan.Stats, Now);
   const bool NotExecuted = provesNotRun(End.Result);
   A.NotExecuted = NotExecuted;
+  if (End.Result == AttemptResult::Shed && !isForwarded() && isIdempotent())
+    P.NotRunServers.push_back(A.Server);
   if (End.RunsOnce && NotExecuted && !Plan.RunsOnce) {
     // The home serves the request once it is not told to expect a repeat.
     Plan.RunsOnce = true;
-    P.TriedServers.erase(
-        std::remove(P.TriedServers.begin(), P.TriedServers.end(), A.Server),
-        P.TriedServers.end());
+    eraseServer(P.TriedServers, A.Server);
   }
   if (!Answered && P.State == PartState::Open && !acceptResponse(Index, End)) {
     if (P.InFlight == 0 && P.WaitId == 0) {
@@ -474,20 +485,25 @@
 
 void RelayRequest::retryOrFail(std::size_t Index, TimePoint Now) {
   Part &P = Parts[Index];
-  if (P.Sent >= maxAttempts() || grantedAway()) {
+  if (!mayAttempt(P, Now) || grantedAway()) {
     failPart(Index);
     return;
   }
   P.HedgeAt = absl::InfiniteFuture();
-  P.RetryAt = Now;
+  // A server that has turned the part away may have a free slot once one of
+  // its requests is done.
+  P.RetryAt = P.Sent < maxAttempts() ? Now : Now + Plan.Stats->expected();
+  if (P.RetryAt > Plan.ObjectiveDeadline && P.Sent >= maxAttempts())
+    failPart(Index);
 }
 
 void RelayRequest::retry(std::size_t Index, TimePoint Now, RelayActions &Out) {
   Part &P = Parts[Index];
   RelayTarget &T = Plan.Targets[Index];
-  const bool NobodyLeft =
-      isForwarded() ? !T.Pool->hasReachableServer(Now) : T.Pool->outOfReach();
-  if (blocked() || NobodyLeft || !maySend() || P.Sent >= maxAttempts()) {
+  const bool NobodyLeft = isForwarded()
+                              ? !T.Pool->hasReachableServer(Now, Plan.Zones)
+                              : T.Pool->outOfReach();
+  if (blocked() || NobodyLeft || !maySend() || !mayAttempt(P, Now)) {
     failPart(Index);
     return;
   }
@@ -498,7 +514,8 @@
     awaitGrant(Index, Now, Out);
     return;
   }
-  if (!First && !T.Budget->spend(0, Plan.BudgetSharers, Now)) {
+  const double Reserve = P.Sent < maxAttempts() ? 0 : ResendBudgetReserve;
+  if (!First && !T.Budget->spend(Reserve, Plan.BudgetSharers, Now)) {
     P.RetryAt = Now + ExtraAttemptRecheckDelay;
     return;
   }
@@ -507,7 +524,7 @@
                 Out);
   // A request that every home has passed back is rejected at once.
   if (P.State != PartState::Failed || isForwarded() ||
-      !T.Pool->hasReachableServer(Now) ||
+      !T.Pool->hasReachableServer(Now, Plan.Zones) ||
       Now + T.Pool->limitDelay(Now) > latestStart())
     return;
   // Every server has been tried. Start over after a delay: the first one may
@@ -621,45 +638,6 @@
   return V;
 }
 
-std::size_t RelayRequest::heldBytes() const {
-  std::size_t Bytes = 0;
-  for (const Part &P : Parts)
-    for (const auto &Response : {P.Response, P.ErrorResponse})
-      Bytes += Response != nullptr ? Response->Body.size() : 0;
-  return Bytes;
-}
-
-std::size_t RelayRequest::hedgesWithheld(HedgeWithheldReason Obstacle) const {
-  return static_cast<std::size_t>(
-      std::count_if(Parts.begin(), Parts.end(), [Obstacle](const Part &P) {
-        return P.Obstacle == Obstacle;
-      }));
-}
-
-std::string RelayRequest::describe(bool OnlyMissing) const {
-  std::string Text;
-  for (std::size_t I = 0; I < Parts.size(); ++I) {
-    if (OnlyMissing && Parts[I].State == PartState::Answered)
-      continue;
-    absl::StrAppend(&Text, Text.empty() ? "" : " ", Plan.Targets[I].Service,
-                    "(");
-    const char *Separator = "";
-    for (const Attempt &A : Attempts) {
-      if (A.Part != I)
-        continue;
-      absl::StrAppend(&Text, Separator, A.Server->Info.Id, "@",
-                      absl::ToInt64Milliseconds(A.Sent - Plan.ArrivalTime),
-                      A.InFlight ? "" : "!");
-      Separator = ",";
-    }
-    if (Parts[I].Obstacle != HedgeWithheldReason::None)
-      absl::StrAppend(&Text, Separator,
-                      nameOf(HedgeWithheldReasonNames, Parts[I].Obstacle));
-    absl::StrAppend(&Text, ")");
-  }
-  return Text;
-}
-
 bool RelayRequest::begun() const {
   return std::any_of(Attempts.begin(), Attempts.end(),
                      [](const Attempt &A) { return !A.NotExecuted; });
@@ -691,6 +669,16 @@
                    Now);
 }
 
+RelayResult RelayRequest::rejection(const AdmissionDecision &Admission,
+                                    TimePoint Now) const {
+  if (Admission.Verdict != AdmissionVerdict::Unservable)
+    return rejection(Plan.Targets[Admission.Decisive], Admission.Excess, Now);
+  RelayResult V;
+  V.Outcome = RelayOutcome::Unservable;
+  V.RetryAfter = UnservableRetryAfter;
+  return V;
+}
+
 RelayResult RelayRequest::rejection(const RelayTarget &Target, Duration Wait,
                                     TimePoint Now) const {
   const Duration Pause = Target.Pool->pauseLeft(Now);
--- a/src/core/relay/RelayRequest.h
+++ b/src/core/relay/RelayRequest.h
@@ -1,6 +1,8 @@
 #ifndef QUETZALLEAD_CORE_RELAY_RELAYREQUEST_H
 #define QUETZALLEAD_CORE_RELAY_RELAYREQUEST_H
 
+#include "core/relay/AdmissionPolicy.h"
+#include "core/relay/AllowedZones.h"
 #include "core/relay/BackendPool.h"
 #include "core/relay/ClaimDelay.h"
 #include "core/relay/ExtraLoadBudget.h"
@@ -32,6 +34,11 @@
   /// One target, or one per shard of a survey.
   std::vector<RelayTarget> Targets;
   std::shared_ptr<RouteStats> Stats;
+  /// Priority and name of the client account; empty if there is none.
+  int AccountPriority = 0;
+  std::string Account;
+  /// Zones whose servers or homes may get the request.
+  AllowedZones Zones;
   /// Number of instances that share the backend servers.
   int Instances = 1;
   /// Number of instances that share the base of the extra load.
@@ -179,12 +186,16 @@
   enum class PartState { Open, Answered, Failed };
   struct Part {
     PartState State = PartState::Open;
+    /// Servers that the part was sent to.
     int Sent = 0;
     int InFlight = 0;
     /// The next attempt waits for the grant.
     bool AwaitsGrant = false;
     std::uint64_t WaitId = 0;
     std::vector<ServerRef> TriedServers;
+    /// Those of them that have turned the part away without running it. They
+    /// may get it again when the route allows no further server.
+    std::vector<ServerRef> NotRunServers;
     TimePoint HedgeAt = absl::InfiniteFuture();
     /// When to claim the attempt that is due at HedgeAt.
     TimePoint ClaimAt = absl::InfiniteFuture();
@@ -213,6 +224,11 @@
   };
 
   AttemptPermitRequest permitRequest(const Part &P) const;
+  /// What the request would meet at each service.
+  std::vector<ServiceOutlook> outlook(TimePoint Now) const;
+  /// Whether the route allows another server, or a server that has turned the
+  /// part away may get it again.
+  bool mayAttempt(const Part &P, TimePoint Now) const;
   std::string describe(bool OnlyMissing) const;
   void acquirePermit(std::size_t Index, AttemptCause Cause, TimePoint Now,
                      RelayActions &Out);
@@ -246,6 +262,8 @@
   /// servers ends.
   RelayResult rejection(const RelayTarget &Target, Duration Wait,
                         TimePoint Now) const;
+  RelayResult rejection(const AdmissionDecision &Admission,
+                        TimePoint Now) const;
   RelayResult mergedResult() const;
   std::size_t neededParts() const {
     return quetzallead::neededParts(*Plan.MatchedRoute);
--- a/src/core/relay/RelayState.cpp
+++ b/src/core/relay/RelayState.cpp
@@ -42,7 +42,8 @@
     : Options(std::move(InitialOptions)), Instances(Options.AssumedInstances),
       HomeCount(Options.AssumedInstances),
       Sharing(std::make_shared<SharingInstances>(Options.Instance,
-                                                 Options.AssumedInstances)) {
+                                                 Options.AssumedInstances)),
+      Limits(Sharing) {
   Homes.Pool =
       std::make_shared<BackendPool>(Options.Zone, Options.Seed, Options.Pool);
   Homes.Pool->setConnectionShare(HomeConnections, absl::InfinitePast());
@@ -97,7 +98,7 @@
   std::vector<ServerRef> Out;
   for (const auto &[Name, S] : Services)
     for (const auto &[Id, Server] : S.Pool->servers())
-      if (Server->AcceptsAttempts)
+      if (Server->takesAttempts())
         Out.push_back(Server);
   return Out;
 }
@@ -112,7 +113,7 @@
   ServerContactSample Sample;
   for (const auto &[Name, S] : Services)
     for (const auto &[Id, Server] : S.Pool->servers()) {
-      if (!Server->AcceptsAttempts)
+      if (!Server->takesAttempts())
         continue;
       ++Sample.Listed;
       Sample.Silent += isSilent(*Server, HeardAt, Now) ? 1 : 0;
@@ -184,7 +185,8 @@
 }
 
 RelayPlan RelayState::planForward(const Route *MatchedRoute, TimePoint Arrived,
-                                  Duration TimeLeft) {
+                                  Duration TimeLeft,
+                                  const ClientAccount *Account) {
   auto Forward = std::make_shared<Route>();
   Forward->Name = MatchedRoute != nullptr ? MatchedRoute->Name : "";
   // Without a route it is unknown whether the request may be repeated.
@@ -213,6 +215,8 @@
   Plan.ObjectiveDeadline = Plan.Deadline;
   Plan.Targets.push_back(RelayTarget{HomesService, Homes.Pool, Homes.Budget});
   Plan.AskersLimit = MatchedRoute != nullptr ? MatchedRoute->MaxAttempts : 0;
+  if (MatchedRoute != nullptr)
+    setAccount(Plan, *MatchedRoute, Account);
   Plan.MatchedRoute = Forward.get();
   Plan.OwnedRoute = std::move(Forward);
   return Plan;
@@ -227,6 +231,7 @@
       if (OnPermitDue)
         OnPermitDue(Due);
     };
+    S.Pool->setEvacuatedZones(EvacuatedZones, absl::InfinitePast());
     S.Budget = std::make_shared<ExtraLoadBudget>(Options.ExtraLoad);
   }
   return S;
@@ -248,6 +253,7 @@
   for (auto It = HomeStats.begin(); It != HomeStats.end();)
     It = It->first.empty() || Stats.count(It->first) != 0 ? std::next(It)
                                                           : HomeStats.erase(It);
+  Limits.updateSheet(Table->sheet().Accounts, Now);
   updateConnectionShares(Now);
   return true;
 }
@@ -257,8 +263,10 @@
     int Limit = 1;
     if (Table != nullptr) {
       auto Configured = Table->sheet().Services.find(Name);
-      if (Configured != Table->sheet().Services.end())
+      if (Configured != Table->sheet().Services.end()) {
         Limit = Configured->second.ConnectionLimit;
+        S.Pool->setWarmUpRate(Configured->second.WarmUpRate, Now);
+      }
     }
     const int Others = Instances - HomeCount;
     S.Pool->setConnectionShare(
@@ -386,6 +394,39 @@
   return Began;
 }
 
+std::vector<ServerRef>
+RelayState::setEvacuatedZones(const std::set<std::string> &Zones,
+                              TimePoint Now) {
+  EvacuatedZones = Zones;
+  for (auto &[Name, S] : Services)
+    S.Pool->setEvacuatedZones(Zones, Now);
+  grantPermits(Now);
+  return listedServers();
+}
+
+std::vector<ServerRef> RelayState::serversThatMayBeCold() const {
+  std::vector<ServerRef> Out;
+  for (const auto &[Name, S] : Services)
+    for (const auto &[Id, Server] : S.Pool->servers())
+      if (Server->Warm.RatePerSecond > 0 && Server->Warm.Unconfirmed &&
+          Server->takesAttempts() && !Server->Unreachable)
+        Out.push_back(Server);
+  return Out;
+}
+
+bool RelayState::noteWarmUp(const ServerRef &Server, Duration Left,
+                            TimePoint Now) {
+  ServerRef Listed = listedServer(*Server);
+  if (Listed == nullptr)
+    Listed = Server;
+  const bool Before = isCold(Listed->Warm, Now);
+  noteWarmUpLeft(Listed->Warm, Left, Now);
+  if (Left > absl::ZeroDuration())
+    Listed->WarmUpEndsAt = Now + Left;
+  grantPermits(Now);
+  return Before != isCold(Listed->Warm, Now);
+}
+
 void RelayState::setInstanceCount(int Count, int NewHomeCount,
                                   bool NewSelfIsHome, TimePoint Now) {
   Instances = std::max(1, Count);
@@ -429,10 +470,24 @@
   return usualTime(HomeStats, R.Name);
 }
 
+void RelayState::setAccount(RelayPlan &Plan, const Route &MatchedRoute,
+                            const ClientAccount *Account) const {
+  static const std::vector<std::string> AllRegions;
+  Plan.Zones = allowedZones(MatchedRoute.Regions,
+                            Account != nullptr ? Account->Regions : AllRegions,
+                            Options.ZoneRegions);
+  if (Account == nullptr)
+    return;
+  Plan.Account = Account->Name;
+  Plan.AccountPriority = Account->Priority;
+}
+
 RelayPlan RelayState::plan(const Route &MatchedRoute, TimePoint Arrived,
-                           Duration TimeLeft, Duration TransitTime) {
+                           Duration TimeLeft, Duration TransitTime,
+                           const ClientAccount *Account) {
   RelayPlan Plan;
   Plan.MatchedRoute = &MatchedRoute;
+  setAccount(Plan, MatchedRoute, Account);
   Plan.Stats = Stats.at(MatchedRoute.Name);
   Plan.Instances = HomeCount;
   Plan.BudgetSharers = budgetSharers(Arrived);
--- a/src/core/relay/RelayState.h
+++ b/src/core/relay/RelayState.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_CORE_RELAY_RELAYSTATE_H
 #define QUETZALLEAD_CORE_RELAY_RELAYSTATE_H
 
+#include "core/relay/AccountLimits.h"
 #include "core/relay/BackendPool.h"
 #include "core/relay/ExtraLoadBudget.h"
 #include "core/relay/HomeSelection.h"
@@ -13,6 +14,7 @@
 #include "core/relay/SplitPicker.h"
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,8 @@
   /// Name of this instance.
   std::string Instance;
   std::string Zone;
+  /// Region by availability zone.
+  std::map<std::string, std::string> ZoneRegions;
   ExtraLoadLimits ExtraLoad;
   /// Number of instances assumed until the actual number is known. A high
   /// number keeps the shares of this instance small.
@@ -71,6 +75,16 @@
   /// or ended. Call grantPermits() then.
   bool limitServer(const ServerRef &Server, std::optional<double> PerSecond,
                    TimePoint Now);
+  /// Sets the availability zones whose backend servers get no requests, until
+  /// the next call. Returns the servers that may still get some.
+  std::vector<ServerRef> setEvacuatedZones(const std::set<std::string> &Zones,
+                                           TimePoint Now);
+  /// Servers with a cap that may have turned cold unnoticed and may get
+  /// requests.
+  std::vector<ServerRef> serversThatMayBeCold() const;
+  /// Records that \p Server has said that it stays cold for \p Left; it is warm
+  /// if that is not positive. Returns whether it turned cold or warm.
+  bool noteWarmUp(const ServerRef &Server, Duration Left, TimePoint Now);
   /// The instances that divide the limits of servers.
   SharingInstances &sharing() { return *Sharing; }
   /// Called when queued attempts may get a permit at a time although none ends:
@@ -88,7 +102,10 @@
   /// caller's timeout at \p Arrived, \p TransitTime the time that the request
   /// took before and the response will take.
   RelayPlan plan(const Route &MatchedRoute, TimePoint Arrived,
-                 Duration TimeLeft, Duration TransitTime);
+                 Duration TimeLeft, Duration TransitTime,
+                 const ClientAccount *Account = nullptr);
+  /// This instance's part of the limits of client accounts.
+  AccountLimits &accountLimits() { return Limits; }
 
   /// How long a request on \p R usually takes; zero if that is not known.
   Duration expectedTime(const Route &R) const;
@@ -117,7 +134,8 @@
   /// Plans to forward a request to a home. \p MatchedRoute is the route that
   /// the request matches in table(), or null if it matches none.
   RelayPlan planForward(const Route *MatchedRoute, TimePoint Arrived,
-                        Duration TimeLeft);
+                        Duration TimeLeft,
+                        const ClientAccount *Account = nullptr);
 
   /// Snapshots by name of every service that a planned request or a discovered
   /// server has named so far.
@@ -148,6 +166,9 @@
   };
 
   Service &service(const std::string &Name);
+  /// Sets what a plan takes from its account and the regions.
+  void setAccount(RelayPlan &Plan, const Route &MatchedRoute,
+                  const ClientAccount *Account) const;
   /// The listed server of the same incarnation as \p Server, which may have
   /// been removed and listed again since it got an attempt; null if there is
   /// none.
@@ -167,12 +188,14 @@
   bool SelfIsHome = true;
   std::shared_ptr<const RouteTable> Table;
   std::map<std::string, Service> Services;
+  std::set<std::string> EvacuatedZones;
   /// Service name by server ID.
   std::map<std::string, std::string> ServiceOf;
   LeavingServers Leaving;
   /// Servers by id whose last pause or limit may not be over.
   std::map<std::string, ServerRef> RestrictedServers;
   std::shared_ptr<SharingInstances> Sharing;
+  AccountLimits Limits;
   std::shared_ptr<ClaimDelay> Claims = std::make_shared<ClaimDelay>();
   std::map<std::string, std::shared_ptr<RouteStats>> Stats;
   Service Homes;
--- a/src/core/relay/Route.h
+++ b/src/core/relay/Route.h
@@ -45,6 +45,10 @@
   double MinCoverage = 1;
   /// Maximum number of records in a survey's merged response.
   std::size_t MaxRecords = 0;
+  /// Requests need no key of an account.
+  bool Public = false;
+  /// Regions that a request and its body may reach; empty for all.
+  std::vector<std::string> Regions;
 };
 
 /// Whether a request on \p R may be sent to backend servers by a second
--- a/src/core/relay/RouteSheet.h
+++ b/src/core/relay/RouteSheet.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_CORE_RELAY_ROUTESHEET_H
 #define QUETZALLEAD_CORE_RELAY_ROUTESHEET_H
 
+#include "core/relay/ClientAccount.h"
 #include "core/relay/ClientLimits.h"
 #include "core/relay/Route.h"
 #include <cstdint>
@@ -15,6 +16,13 @@
   /// Maximum number of connections to one backend server of the service, over
   /// all instances.
   int ConnectionLimit = 1;
+  /// Target of health probes; empty if the service has none.
+  std::string HealthPath;
+  /// Time after its start for which a backend server stays cold.
+  Duration WarmUpTime = absl::ZeroDuration();
+  /// Requests per second that a cold server takes from all instances together;
+  /// 0 if there is no such limit.
+  double WarmUpRate = 0;
 };
 
 /// One complete version of the routing configuration of all instances.
@@ -24,6 +32,8 @@
   std::vector<Route> Routes;
   std::map<std::string, RoutedService> Services;
   ClientLimits Limits;
+  /// Empty if the sheet has none; requests then carry no key.
+  std::vector<ClientAccount> Accounts;
 };
 
 } // namespace quetzallead
--- a/src/core/relay/RouteTable.cpp
+++ b/src/core/relay/RouteTable.cpp
@@ -5,10 +5,13 @@
 namespace quetzallead {
 
 RouteTable::RouteTable(RouteSheet InitialSheet)
-    : Sheet(std::move(InitialSheet)) {
+    : Sheet(std::move(InitialSheet)), Accounts(Sheet.Accounts) {
   ByPrefix.reserve(Sheet.Routes.size());
   for (const Route &R : Sheet.Routes)
     ByPrefix.emplace(absl::StrCat(absl::AsciiStrToLower(R.Host), R.Prefix), &R);
+  // Keys are secrets, and the table has their hashes.
+  for (ClientAccount &Account : Sheet.Accounts)
+    std::vector<std::string>().swap(Account.Keys);
 }
 
 const Route *RouteTable::find(absl::string_view Host,
--- a/src/core/relay/RouteTable.h
+++ b/src/core/relay/RouteTable.h
@@ -3,6 +3,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
+#include "core/relay/AccountTable.h"
 #include "core/relay/RouteSheet.h"
 #include <memory>
 #include <string>
@@ -20,9 +21,13 @@
   /// the host and a query or fragment after the path are ignored.
   const Route *find(absl::string_view Host, absl::string_view Target) const;
   const RouteSheet &sheet() const { return Sheet; }
+  /// Whether requests carry keys of accounts.
+  bool hasAccounts() const { return !Sheet.Accounts.empty(); }
+  const AccountTable &accounts() const { return Accounts; }
 
 private:
   RouteSheet Sheet;
+  AccountTable Accounts;
   /// Keyed by the lower-case host followed by the prefix; a prefix begins with
   /// a slash, so no separator is needed.
   absl::flat_hash_map<std::string, const Route *> ByPrefix;
--- a/src/core/relay/ServerLimit.cpp
+++ b/src/core/relay/ServerLimit.cpp
@@ -4,9 +4,9 @@
 
 namespace quetzallead {
 
-/// Requests that all shares together may save up, in seconds of the limit and
-/// as a number. A server tolerates some more than its limit for a short time.
-static constexpr double BurstSeconds = 1;
+/// Requests that all shares together may save up besides those of
+/// ServerLimit::BurstSeconds. A server tolerates some more than its limit for a
+/// short time.
 static constexpr double BurstRequests = 2.5;
 /// A response without a limit ends the limit only if none has named it for this
 /// long: responses overtake each other.
@@ -18,12 +18,14 @@
   return std::clamp(PerSecond, MinServerLimit, MaxServerLimit);
 }
 
-static double burst(double PerSecond) {
-  return bounded(PerSecond) * BurstSeconds + BurstRequests;
+static double burst(const ServerLimit &Limit) {
+  return bounded(Limit.PerSecond) * Limit.BurstSeconds + BurstRequests;
 }
 
 int maxLimitSharers(double PerSecond) {
-  return static_cast<int>(burst(PerSecond));
+  ServerLimit Limit;
+  Limit.PerSecond = PerSecond;
+  return static_cast<int>(burst(Limit));
 }
 
 bool nameLimit(ServerLimit &Limit, double PerSecond, const LimitShare &Share,
@@ -48,7 +50,7 @@
 
 double limitTokens(const ServerLimit &Limit, const LimitShare &Share,
                    TimePoint Now) {
-  const double Capacity = burst(Limit.PerSecond) / std::max(1, Share.Sharers);
+  const double Capacity = burst(Limit) / std::max(1, Share.Sharers);
   const double Elapsed =
       std::max(0.0, absl::ToDoubleSeconds(Now - Limit.CountedAt));
   return std::min(Capacity, Limit.Tokens + Elapsed * limitRate(Limit, Share));
--- a/src/core/relay/ServerLimit.h
+++ b/src/core/relay/ServerLimit.h
@@ -24,6 +24,8 @@
 struct ServerLimit {
   /// Infinite if the server names no limit.
   double PerSecond = std::numeric_limits<double>::infinity();
+  /// Requests that all shares together may save up, in seconds of the limit.
+  double BurstSeconds = 1;
   /// Time of the last response that named the limit.
   TimePoint NamedAt = absl::InfinitePast();
   /// Requests that this instance may send, at CountedAt; may be a fraction.
--- a/src/core/relay/ServiceSnapshot.h
+++ b/src/core/relay/ServiceSnapshot.h
@@ -13,7 +13,11 @@
   std::array<std::size_t, ServerStateCount> Servers{};
   /// Backend servers that name a limit.
   std::size_t Limited = 0;
+  /// Backend servers that are cold and have a cap.
+  std::size_t Cold = 0;
   std::size_t Queued = 0;
+  /// Attempts that a full queue has given up for others.
+  std::size_t Displaced = 0;
   std::size_t InFlight = 0;
   std::size_t IdleConnections = 0;
   /// Maximum number of connections of this instance to each server.
--- a/src/core/relay/SharingInstances.cpp
+++ b/src/core/relay/SharingInstances.cpp
@@ -69,8 +69,13 @@
 
 LimitShare SharingInstances::shareOf(const std::string &Id, double PerSecond,
                                      TimePoint Now) const {
+  return shareAmong(Id, maxLimitSharers(PerSecond), Now);
+}
+
+LimitShare SharingInstances::shareAmong(const std::string &Id, int MaxSharers,
+                                        TimePoint Now) const {
   const int Count = sharers(Now);
-  const int Sharers = std::min(Count, maxLimitSharers(PerSecond));
+  const int Sharers = std::min(Count, MaxSharers);
   LimitShare Share;
   Share.Sharers = Sharers;
   Share.Fraction = 1.0 / Sharers;
--- a/src/core/relay/SharingInstances.h
+++ b/src/core/relay/SharingInstances.h
@@ -39,6 +39,9 @@
   /// second at server \p Id.
   LimitShare shareOf(const std::string &Id, double PerSecond,
                      TimePoint Now) const;
+  /// Likewise of a limit that at most \p MaxSharers instances may divide.
+  LimitShare shareAmong(const std::string &Id, int MaxSharers,
+                        TimePoint Now) const;
 
 private:
   bool held(TimePoint MissingSince, TimePoint Now) const;
--- a/src/relay/Deployment.h
+++ b/src/relay/Deployment.h
@@ -22,6 +22,12 @@
   HeaderNames Headers;
   /// Key of the current sheet.
   std::string SheetKey;
+  /// Key prefix of all that the operator stores; begins SheetKey and
+  /// EvacuationPrefix.
+  std::string OperatorPrefix;
+  /// Key prefix of the availability zones whose backend servers are to get no
+  /// requests; empty if there are no evacuations.
+  std::string EvacuationPrefix;
   /// Key prefix of backend servers.
   std::string ServersPrefix;
   /// Key prefix of all that this tier stores.
--- a/src/relay/HeaderNames.h
+++ b/src/relay/HeaderNames.h
@@ -29,6 +29,12 @@
   std::string Limit;
   /// Load of a backend server as "running,waiting,slots".
   std::string Load;
+  /// Key of the caller's account, in requests of callers only.
+  std::string AccountKey;
+  /// Name of the caller's account, in requests to backend servers.
+  std::string Account;
+  /// Milliseconds for which a backend server stays cold.
+  std::string WarmUpLeft;
 };
 
 } // namespace quetzallead
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -17,6 +17,20 @@
   RelaySettings S;
   S.Instance = Reader.name("instance");
   S.Zone = Reader.name("zone");
+  if (Reader.has("region"))
+    S.Region = Reader.name("region");
+  const nlohmann::json &Zones = Reader.any("zone_regions");
+  if (Zones.is_object()) {
+    for (const auto &[Zone, Region] : Zones.items()) {
+      if (!Region.is_string())
+        Reader.refuse("zone_regions",
+                      "the region of " + Zone + " is no string");
+      else
+        S.ZoneRegions[Zone] = Region.get<std::string>();
+    }
+  } else if (!Zones.is_null()) {
+    Reader.refuse("zone_regions", "must be an object of regions by zone");
+  }
   S.CallerListen = Reader.address("caller_listen");
   S.ReadinessListen = Reader.address("readiness_listen");
   if (Reader.has("metrics_listen"))
@@ -96,6 +110,10 @@
   nlohmann::ordered_json Out;
   Out["instance"] = S.Instance;
   Out["zone"] = S.Zone;
+  if (!S.Region.empty())
+    Out["region"] = S.Region;
+  if (!S.ZoneRegions.empty())
+    Out["zone_regions"] = S.ZoneRegions;
   Out["caller_listen"] = S.CallerListen;
   Out["readiness_listen"] = S.ReadinessListen;
   if (!S.MetricsListen.empty())
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -6,6 +6,7 @@
 #include "quetzallead/Error.h"
 #include "quetzallead/Time.h"
 #include "runtime/Logger.h"
+#include <map>
 #include <string>
 
 namespace quetzallead {
@@ -14,6 +15,10 @@
 struct RelaySettings {
   std::string Instance;
   std::string Zone;
+  /// Region of Zone; empty if the deployment names no regions.
+  std::string Region;
+  /// Region by availability zone.
+  std::map<std::string, std::string> ZoneRegions;
   std::string CallerListen;
   std::string ReadinessListen;
   /// Address at which metrics are scraped; empty to disable metrics.
--- a/tests/relay/BackendPoolTest.cpp
+++ b/tests/relay/BackendPoolTest.cpp
@@ -59,6 +59,8 @@
     end(Attempted[I],
         I % 2 == 0 ? AttemptResult::TimedOut : AttemptResult::Answered,
         absl::ZeroDuration());
-  EXPECT_LT(Pool.expectedDelay(Stats, Now), absl::Milliseconds(20));
+  AttemptPermitRequest Request;
+  Request.Stats = &Stats;
+  EXPECT_LT(Pool.expectedDelay(Request, Now), absl::Milliseconds(20));
   EXPECT_LT(Stats.expected(), absl::Milliseconds(12));
 }
--- a/tests/relay/RelayRequestHarness.h
+++ b/tests/relay/RelayRequestHarness.h
@@ -14,16 +14,10 @@
 class RelayRequestHarness {
 public:
   explicit RelayRequestHarness(int Shards, int Replicas = 3) {
-    RelayStateOptions Options;
     Options.Zone = "a";
     Options.ExtraLoad.Share = 0.2;
     Options.ExtraLoad.Base = 1000;
     Options.AssumedInstances = 1;
-    State = std::make_unique<RelayState>(Options);
-    State->OnPermitDue = [this](TimePoint Due) {
-      PermitsDue = std::min(PermitsDue, Due);
-    };
-    std::vector<FeedChange> Servers;
     Sheet.Version = 1;
     RequestRoute.Name = "r";
     RequestRoute.Host = "h";
@@ -48,7 +42,13 @@
         Servers.push_back(FeedChange{S.Id, S});
       }
     }
-    State->applyFeedChanges(Servers, Now);
+    makeState();
+  }
+
+  /// Starts over with the region of each zone.
+  void setZoneRegions(const std::map<std::string, std::string> &Regions) {
+    Options.ZoneRegions = Regions;
+    makeState();
   }
 
   void startRequest() {
@@ -130,6 +130,14 @@
   std::optional<RelayResult> Verdict;
 
 private:
+  void makeState() {
+    State = std::make_unique<RelayState>(Options);
+    State->OnPermitDue = [this](TimePoint Due) {
+      PermitsDue = std::min(PermitsDue, Due);
+    };
+    State->applyFeedChanges(Servers, Now);
+  }
+
   template <typename Fn> void step(Fn Deliver) {
     RelayActions Out;
     Deliver(Out);
@@ -150,6 +158,9 @@
         Verdict = std::get<RespondToCaller>(Action).Result;
     }
   }
+
+  RelayStateOptions Options;
+  std::vector<FeedChange> Servers;
 };
 
 } // namespace quetzallead
