relay: evacuations, cold servers, keys and limits of accounts are in force

The operator's prefix is watched in place of the sheet's key alone, so that evacuations cost no further call; homes tell each other of them. Homes ask each other for tokens of accounts whose callers they serve.

--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -67,6 +67,8 @@
   if (S.Unreachable)
     logEvent(LogLevel::Info, "server_reachable",
              {{"server", S.Info.Id}, {"service", S.Info.Service}});
+  if (S.Unreachable && S.Warm.RatePerSecond > 0)
+    noteMayBeCold(S.Warm, LoopTimers::now());
   S.Unreachable = false;
   S.OutOfReach = false;
 }
--- a/src/relay/ForwardedRequest.h
+++ b/src/relay/ForwardedRequest.h
@@ -19,6 +19,13 @@
   /// False if the request has neither Content-Length nor Transfer-Encoding.
   bool HasBody = false;
   std::string RequestId;
+  /// Key of the caller's account, once it has been taken out of Headers. Must
+  /// not be logged or sent to a backend server.
+  std::string AccountKey;
+  /// Name of that account; empty if there is none.
+  std::string Account;
+  /// The request counts against the limit of the account.
+  bool Counted = false;
   /// requestFingerprint(), if it has been computed.
   std::string Fingerprint;
   /// The caller's timeout; empty if the request does not state one.
--- a/src/relay/LinkMessages.cpp
+++ b/src/relay/LinkMessages.cpp
@@ -1,8 +1,10 @@
 #include "relay/LinkMessages.h"
 #include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 #include <map>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -15,6 +17,12 @@
 /// Likewise for the attempts of a request.
 static constexpr std::uint64_t MaxSharedAttempts = 1000;
 
+/// Field of a home that the store has told which zones are evacuated, and the
+/// prefix of a field for each of them: fields are numbers, so that the zone, in
+/// hexadecimal, is part of the name.
+static constexpr char ZonesKnownField[] = "zones_known";
+static constexpr char EvacuatedField[] = "evacuated:";
+
 static absl::string_view view(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -83,7 +91,8 @@
                    ";passed_back=", static_cast<int>(Info.PassedBack),
                    ";wants_sheet=", static_cast<int>(Info.WantsSheet),
                    ";update=", static_cast<int>(Info.TakesSheetUpdate),
-                   ";crashes=", static_cast<int>(Info.ExchangesCrashes));
+                   ";crashes=", static_cast<int>(Info.ExchangesCrashes),
+                   ";accounts=", static_cast<int>(Info.AsksForTokens));
   const std::string Code =
       sign(Secret, {Fields, Call.Method, Call.Target, Call.Host, Call.RequestId,
                     Millis, Call.Body});
@@ -91,6 +100,8 @@
       Call.Method, " ", Call.Target, " HTTP/1.1\r\nHost: ", Call.Host, "\r\n",
       Call.Headers, Names.RemainingTime, ": ", Millis, "\r\n", LinkHeader, ": ",
       Fields, ";mac=", Code, "\r\n");
+  if (!Call.AccountKey.empty())
+    absl::StrAppend(&Out, Names.AccountKey, ": ", Call.AccountKey, "\r\n");
   if (Call.HasBody)
     absl::StrAppend(&Out, "Content-Length: ", Call.Body.size(), "\r\n");
   absl::StrAppend(&Out, "\r\n", Call.Body);
@@ -129,6 +140,7 @@
   Out.WantsSheet = Number("wants_sheet") != 0;
   Out.TakesSheetUpdate = Number("update") != 0;
   Out.ExchangesCrashes = Number("crashes") != 0;
+  Out.AsksForTokens = Number("accounts") != 0;
   return Out;
 }
 
@@ -177,7 +189,7 @@
 std::string addLinkHeader(std::string Response, const std::string &RequestId,
                           const LinkResponseInfo &Info,
                           const std::string &Secret) {
-  const std::string Fields = absl::StrCat(
+  std::string Fields = absl::StrCat(
       "sheet=", Info.SheetVersion,
       ";store_lost=", static_cast<int>(Info.StoreLost),
       ";sharers=", Info.Sharers, ";crash_digest=", Info.CrashDigest,
@@ -186,6 +198,11 @@
       ";checks_repeats=", static_cast<int>(Info.ChecksRepeats),
       ";servers_lost=", static_cast<int>(Info.ServersLost),
       ";abandoned=", static_cast<int>(Info.Abandoned));
+  if (Info.KnowsZones)
+    absl::StrAppend(&Fields, ";", ZonesKnownField, "=1");
+  for (const std::string &Zone : Info.EvacuatedZones)
+    absl::StrAppend(&Fields, ";", EvacuatedField, absl::BytesToHexString(Zone),
+                    "=1");
   const std::size_t HeadEnd = Response.find("\r\n\r\n") + 4;
   const std::string Code =
       sign(Secret, {Fields, RequestId, statusCode(Response),
@@ -228,6 +245,11 @@
   Out.ChecksRepeats = Number("checks_repeats") != 0;
   Out.ServersLost = Number("servers_lost") != 0;
   Out.Abandoned = Number("abandoned") != 0;
+  Out.KnowsZones = Number(ZonesKnownField) != 0;
+  for (const auto &[Name, Value] : Fields->Numbers)
+    if (absl::StartsWith(Name, EvacuatedField))
+      Out.EvacuatedZones.insert(
+          absl::HexStringToBytes(absl::StripPrefix(Name, EvacuatedField)));
   return Out;
 }
 
--- a/src/relay/LinkMessages.h
+++ b/src/relay/LinkMessages.h
@@ -8,6 +8,7 @@
 #include "relay/RelayMessages.h"
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace quetzallead {
@@ -44,6 +45,8 @@
   bool TakesSheetUpdate = false;
   /// The body holds crash reports, and the response will.
   bool ExchangesCrashes = false;
+  /// The body asks for tokens of accounts, and the response will hold some.
+  bool AsksForTokens = false;
   /// Not a request: a message that grants the home what it has claimed. It has
   /// no response.
   bool GrantsAttempts = false;
@@ -73,6 +76,9 @@
   /// The home may have run the request and can get no response: what may be
   /// repeated can go to another one.
   bool Abandoned = false;
+  /// The store has told the home which availability zones are evacuated.
+  bool KnowsZones = false;
+  std::set<std::string> EvacuatedZones;
 };
 
 /// Encodes a request to a home with a message authentication code under
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelayDaemon.h"
 #include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
+#include "relay/DerivedSettings.h"
 #include "relay/RequestFingerprint.h"
 #include "relay/RequestLog.h"
 #include "relay/SocketOptions.h"
@@ -22,18 +23,9 @@
 /// Retry-After time sent during shutdown. Kept short, since other instances
 /// have capacity.
 static constexpr Duration ShutdownRetryAfter = absl::Milliseconds(10);
-/// Delay between a batch of server changes and the next watch. A server's start
-/// or stop makes several changes, and each change wakes every instance.
-static constexpr Duration ServerBatchDelay = absl::Milliseconds(1000);
 /// Delay between a sheet change and the next watch, which batches versions
 /// published in quick succession. A version must be in force within seconds.
 static constexpr Duration SheetBatchDelay = absl::Milliseconds(200);
-/// Part of Settings.LeavingTime that is reserved for store calls and requests
-/// in transit.
-static constexpr Duration DrainMargin = absl::Milliseconds(600);
-/// Least time after which a watch without a response counts as lost, however
-/// short Settings.LeavingTime is: each watch is a call to the store.
-static constexpr Duration MinStoreSilence = absl::Seconds(1);
 /// Longer request targets are truncated in log lines.
 static constexpr std::size_t MaxLoggedTargetChars = 200;
 /// Delay before the sheet is requested again after a home did not return it.
@@ -57,39 +49,9 @@
 /// Receive buffer of each accepted connection: what a caller can send before it
 /// is read.
 static constexpr int ReceiveBufferBytes = 32 * 1024;
-static constexpr double BytesPerMegabyte = 1 << 20;
 /// Delay after a failed accept, for example when no file descriptors are left.
 static constexpr Duration AcceptRetryDelay = absl::Milliseconds(50);
 
-static std::size_t memoryBytes(const RelaySettings &S) {
-  return static_cast<std::size_t>(S.Machine.MemoryMb * BytesPerMegabyte);
-}
-
-static RelayStateOptions stateOptions(const RelaySettings &S) {
-  RelayStateOptions Options;
-  Options.Instance = S.Instance;
-  Options.Zone = S.Zone;
-  Options.ExtraLoad = S.ExtraLoad;
-  Options.Homes = S.Homes;
-  Options.Seed = absl::Hash<std::string>()(S.Instance);
-  return Options;
-}
-
-/// How long the store may be silent before what is followed there is read
-/// again. A server whose leaving is missed must not get requests after
-/// Settings.LeavingTime.
-static Duration maxStoreSilence(const RelaySettings &S) {
-  return std::max(MinStoreSilence, S.LeavingTime - DrainMargin);
-}
-
-/// How long a server that vanished from the store while the store was healthy
-/// may still return. Limited so that the last request reaches the server while
-/// it still serves, that is within Settings.LeavingTime.
-static Duration vanishedServerReturnTime(const RelaySettings &S) {
-  return std::clamp(S.LeavingTime - ServerBatchDelay - DrainMargin,
-                    absl::ZeroDuration(), S.ReturnTime);
-}
-
 /// Handlers of a listener that responds to every request at once by calling
 /// \p Respond.
 static CallerHandlers immediateResponder(
@@ -117,6 +79,11 @@
       Servers(State, Backends, Timers, Metrics),
       Announcements(Loop, State, Backends, Metrics, Environment.Headers),
       HandOvers(State, Servers, Metrics),
+      Evacuations(Timers, State, Backends, Environment.EvacuationPrefix,
+                  Settings.ZoneRegions),
+      ColdServers(Timers, State, Backends, Environment.Headers),
+      Accounts(State.accountLimits(), Metrics, Environment.Headers),
+      TokenExchange(Backends, State.accountLimits(), Environment.Headers),
       Crashes(Backends, Suspects, Environment.Headers),
       Store(Environment.MakeStore(Loop, Timers, Settings.StoreAddress,
                                   Settings.StoreTimeout, &Memory)),
@@ -239,6 +206,7 @@
     Disconnected.Outcome = RelayOutcome::CallerDisconnected;
     recordRequestEnd(*Session, Disconnected);
     Session->onCallerDisconnected();
+    Accounts.onEnd(Session->call(), Session->request(), LoopTimers::now());
   };
   RequestHandlers.OnClosed = [this](CallerSession &Caller) {
     CallerSessions.erase(&Caller);
@@ -369,20 +337,28 @@
   const auto Seed = absl::Hash<std::string>()(Settings.Instance);
   PrefixWatchHandlers SheetHandlers;
   SheetHandlers.OnSnapshot = [this](const std::vector<StoreItem> &Items,
-                                    std::uint64_t) { updateSheet(Items); };
+                                    std::uint64_t) {
+    updateSheet(Items);
+    Evacuations.onSnapshot(Items);
+  };
+  SheetHandlers.OnNewEra = [this] { Evacuations.onNewEra(); };
   SheetHandlers.OnChanges = [this](const std::vector<StoreItem> &Items) {
     updateSheet(Items);
+    Evacuations.onChanges(Items);
+    ColdServers.update();
   };
   SheetHandlers.OnUnavailable = [this](StoreOutcome Outcome) {
     Contact.onLost(FollowedData::Sheet, LoopTimers::now());
+    Evacuations.onSourceLost();
     logStoreLost("sheet", Outcome, *SheetWatcher);
   };
   SheetHandlers.OnAvailable = [this] {
     Contact.onBack(FollowedData::Sheet);
+    Evacuations.onSourceBack();
     logEvent(LogLevel::Info, "store_back", {{"following", "sheet"}});
   };
   PrefixWatchOptions SheetOptions;
-  SheetOptions.Prefix = Environment.SheetKey;
+  SheetOptions.Prefix = Environment.OperatorPrefix;
   SheetOptions.BatchDelay = SheetBatchDelay;
   SheetOptions.MaxSilence = maxStoreSilence(Settings);
   SheetOptions.Seed = Seed;
@@ -508,7 +484,7 @@
 
 bool RelayDaemon::canServe() const {
   return State.table() != nullptr && ServerWatcher->hasSnapshot() &&
-         (Home || Registry->registered());
+         Evacuations.known() && (Home || Registry->registered());
 }
 
 bool RelayDaemon::servesItself() const {
@@ -613,6 +589,7 @@
                            const LinkResponseInfo &Info) {
   RelayState::noteHome(From, Info.ServersLost, LoopTimers::now());
   From->ChecksRepeats = Info.ChecksRepeats;
+  Evacuations.onHomeResponse(Info);
   if (!Info.StoreLost && Info.SheetVersion != 0)
     Contact.onHomeInContact(LoopTimers::now());
   if (Info.Sharers > 0)
@@ -636,6 +613,7 @@
   if (!Adopted)
     return false;
   Sheets.add(Version, std::string(Text));
+  ColdServers.update();
   NewestSheetVersion = std::max(NewestSheetVersion, Version);
   return true;
 }
@@ -653,6 +631,7 @@
        State.applyFeedChanges(Changes, LoopTimers::now()))
     Backends.preconnect(Server);
   Backends.closeRemovedServers();
+  ColdServers.update();
   scheduleServerExpiry();
 }
 
@@ -755,6 +734,7 @@
   Out.RequestsInFlight = ActiveRequests.size();
   Out.HeldBytes = Memory.heldBytes();
   Out.BlockedRequests = Suspects.blockedCount(Now);
+  Out.EvacuatedZones = Evacuations.count();
   Out.Services = State.snapshot(Now);
   return Out;
 }
@@ -779,6 +759,7 @@
     Info.Sharers = State.sharing().count(LoopTimers::now());
     Info.ServersLost = Active && Servers.lost();
     Info.ChecksRepeats = true;
+    Evacuations.describe(Info);
     Bytes = addLinkHeader(std::move(Bytes), RequestId, Info, LinkSecret);
   }
   Caller.respond(std::move(Bytes), KeepOpen);
@@ -792,24 +773,9 @@
           KeepOpen);
 }
 
-static unsigned statusOf(RejectReason Reason) {
-  switch (Reason) {
-  case RejectReason::NoHost:
-    return 400;
-  case RejectReason::NoRoute:
-    return 404;
-  case RejectReason::NoSheet:
-  case RejectReason::NoServers:
-  case RejectReason::Stopping:
-  case RejectReason::EndsServers:
-    break;
-  }
-  return 503;
-}
-
 void RelayDaemon::reject(CallerSession &Caller, const ForwardedRequest &Call,
-                         RejectReason Reason, TimePoint Now) {
-  Duration RetryAfter = absl::ZeroDuration();
+                         RejectReason Reason, TimePoint Now,
+                         Duration RetryAfter) {
   if (Reason == RejectReason::Stopping)
     RetryAfter = ShutdownRetryAfter;
   else if (statusOf(Reason) == 503)
@@ -969,6 +935,13 @@
             encodeLinkBody(Crashes.answer(Call.Body), KeepOpen), KeepOpen);
     return;
   }
+  if (Info.AsksForTokens) {
+    const bool KeepOpen = Asker->mayKeepOpen();
+    respond(*Asker, Call.RequestId,
+            encodeLinkBody(TokenExchange.answer(Call.Body), KeepOpen),
+            KeepOpen);
+    return;
+  }
   if (!Active && !shuttingDown()) {
     Registry->requireRegistration();
     activate();
@@ -1019,7 +992,8 @@
       MatchedRoute != nullptr ? MatchedRoute->Timeout : SheetFetchTimeout;
   RelayPlan Plan = State.planForward(
       MatchedRoute, Call.ArrivalTime,
-      Call.RemainingTime.value_or(Timeout + LinkTimeoutMargin));
+      Call.RemainingTime.value_or(Timeout + LinkTimeoutMargin),
+      Table != nullptr ? Accounts.accountOf(Call, *Table) : nullptr);
   Plan.Repeated = Repeated;
   startSession(Caller,
                RelaySessionContext{Backends, Timers, Metrics, LinkCodec,
@@ -1045,6 +1019,10 @@
     reject(*Caller, Call, RejectReason::Stopping, Now);
     return;
   }
+  if (const auto Refusal = Accounts.identify(Call, *Table, *MatchedRoute)) {
+    reject(*Caller, Call, Refusal->Reason, Now);
+    return;
+  }
   HandOverOrigin Origin = originOf(*Caller);
   Origin.HandedOver = Info.PassedBack;
   if (HandOvers.beforeServing(Caller, Call, *MatchedRoute, Origin))
@@ -1055,9 +1033,17 @@
     rejectBlocked(*Caller, Call, Info.Repeated);
     return;
   }
-  RelayPlan Plan = State.plan(
-      *MatchedRoute, Call.ArrivalTime,
-      Call.RemainingTime.value_or(MatchedRoute->Timeout), Call.TransitTime);
+  const auto Refusal = Accounts.admit(Call, Info.Repeated, Now);
+  if (State.accountLimits().lacksTokens())
+    TokenExchange.request(State.homes(), LinkSecret);
+  if (Refusal) {
+    reject(*Caller, Call, Refusal->Reason, Now, Refusal->RetryAfter);
+    return;
+  }
+  RelayPlan Plan =
+      State.plan(*MatchedRoute, Call.ArrivalTime,
+                 Call.RemainingTime.value_or(MatchedRoute->Timeout),
+                 Call.TransitTime, Accounts.accountOf(Call, *Table));
   Plan.Repeated = Info.Repeated;
   Plan.HandedOver = Info.PassedBack;
   Plan.LastAttemptHeldBack = Info.LastAttemptHeldBack;
@@ -1086,6 +1072,8 @@
           return;
         std::shared_ptr<RelaySession> Finished = std::move(Found->second);
         ActiveRequests.erase(Found);
+        Accounts.onEnd(Finished->call(), Finished->request(),
+                       LoopTimers::now());
         auto Open = WeakCaller.lock();
         if (Open == nullptr)
           return;
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -5,6 +5,8 @@
 #include "core/relay/RelayState.h"
 #include "core/relay/SheetHistory.h"
 #include "core/relay/StoreContact.h"
+#include "relay/AccountExchange.h"
+#include "relay/AccountGate.h"
 #include "relay/AttemptCodec.h"
 #include "relay/BackendClient.h"
 #include "relay/CallerSession.h"
@@ -22,6 +24,8 @@
 #include "relay/RequestHandOver.h"
 #include "relay/ServerAnnouncements.h"
 #include "relay/ServerContactMonitor.h"
+#include "relay/WarmUpProber.h"
+#include "relay/ZoneEvacuations.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -73,7 +77,8 @@
                  HttpRequest Request);
   /// Rejects \p Call before it is matched to a route.
   void reject(CallerSession &Caller, const ForwardedRequest &Call,
-              RejectReason Reason, TimePoint Now);
+              RejectReason Reason, TimePoint Now,
+              Duration RetryAfter = absl::ZeroDuration());
   /// Serves a request from this instance, which must be ready to.
   void serve(const std::shared_ptr<CallerSession> &Caller,
              ForwardedRequest Call, const LinkRequestInfo &Info);
@@ -164,6 +169,10 @@
   ServerContactMonitor Servers;
   ServerAnnouncements Announcements;
   RequestHandOver HandOvers;
+  ZoneEvacuations Evacuations;
+  WarmUpProber ColdServers;
+  AccountGate Accounts;
+  AccountExchange TokenExchange;
   CrashSuspects Suspects;
   CrashExchange Crashes;
   std::unique_ptr<RevisionedStore> Store;
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -82,6 +82,26 @@
   return Call;
 }
 
+std::vector<std::string> takeHeader(std::string &Fields,
+                                    absl::string_view Name) {
+  std::vector<std::string> Values;
+  std::string Kept;
+  absl::string_view Rest = Fields;
+  while (!Rest.empty()) {
+    const std::size_t End = std::min(Rest.find("\r\n"), Rest.size() - 2) + 2;
+    const absl::string_view Line = Rest.substr(0, End);
+    Rest.remove_prefix(End);
+    const std::size_t Colon = Line.find(':');
+    if (absl::EqualsIgnoreCase(Line.substr(0, Colon), Name))
+      Values.emplace_back(absl::StripAsciiWhitespace(Line.substr(Colon + 1)));
+    else
+      absl::StrAppend(&Kept, Line);
+  }
+  if (!Values.empty())
+    Fields = std::move(Kept);
+  return Values;
+}
+
 std::string encodeAttempt(const ForwardedRequest &Call,
                           const HeaderNames &Names, const std::string &ServerId,
                           Duration TimeLeft) {
@@ -91,6 +111,8 @@
       Call.Method, " ", Call.Target, " HTTP/1.1\r\nHost: ", Call.Host, "\r\n",
       Call.Headers, Names.RemainingTime, ": ", Millis, "\r\n");
   absl::StrAppend(&Out, Names.TargetIncarnation, ": ", ServerId, "\r\n");
+  if (!Call.Account.empty())
+    absl::StrAppend(&Out, Names.Account, ": ", Call.Account, "\r\n");
   if (Call.HasBody)
     absl::StrAppend(&Out, "Content-Length: ", Call.Body.size(), "\r\n");
   absl::StrAppend(&Out, "\r\n", Call.Body);
@@ -147,6 +169,22 @@
   return std::isfinite(Lowest) ? Lowest : -1;
 }
 
+std::optional<Duration> warmUpLeft(const HttpResponseHead &Head,
+                                   const HeaderNames &Names) {
+  static constexpr double MaxMillis = 24.0 * 3600 * 1000;
+  const auto Range = Head.equal_range(Names.WarmUpLeft);
+  std::optional<Duration> Longest;
+  for (auto It = Range.first; It != Range.second; ++It) {
+    double Millis = 0;
+    if (absl::SimpleAtod(absl::StripAsciiWhitespace(view(It->value())),
+                         &Millis) &&
+        Millis >= 0 && Millis <= MaxMillis)
+      Longest = std::max(Longest.value_or(absl::ZeroDuration()),
+                         absl::Milliseconds(Millis));
+  }
+  return Longest;
+}
+
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
                                 const HeaderNames &Names) {
   AttemptEnd Out;
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -25,6 +25,11 @@
 ForwardedRequest decodeRequest(HttpRequest &Request, const HeaderNames &Names,
                                TimePoint ArrivalTime);
 
+/// Removes all header fields \p Name, regardless of case, from \p Fields, which
+/// are each "Name: value\r\n"; returns their values.
+std::vector<std::string> takeHeader(std::string &Fields,
+                                    absl::string_view Name);
+
 /// Encodes an attempt at the backend server \p ServerId. The request carries
 /// \p TimeLeft as the time until its deadline.
 std::string encodeAttempt(const ForwardedRequest &Call,
@@ -39,6 +44,11 @@
 /// read.
 Duration requestedPause(const HttpResponseHead &Head);
 
+/// How long a backend server says that it stays cold; nothing if it does not
+/// say, or what it says is no number of milliseconds.
+std::optional<Duration> warmUpLeft(const HttpResponseHead &Head,
+                                   const HeaderNames &Names);
+
 /// Requests per second that the sender of \p Head takes from all instances
 /// together; the lowest if several are named. Empty if none is, negative if
 /// none can be read.
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -70,6 +70,13 @@
   Counter *Missing = nullptr;
 };
 
+/// The series of one client account. They are owned by their family and added
+/// when first used.
+struct AccountSeries {
+  std::string Account;
+  std::array<Counter *, countOf(AccountUseNames)> Uses{};
+};
+
 /// The series of one service. They are owned by their families and added when
 /// first used.
 struct ServiceSeries {
@@ -98,6 +105,7 @@
   void serverPaused() { PauseCount.Increment(); }
   void serverLimited() { LimitCount.Increment(); }
   void serverEnded() { EndCount.Increment(); }
+  void accountUsed(const std::string &Account, AccountUse Use);
   void memoryFreed(MemoryUse Use) {
     MemoryFreed.Add({{"use", std::string(nameOf(MemoryUseNames, Use))}})
         .Increment();
@@ -217,6 +225,18 @@
   Family<Gauge> &LimitedServers =
       gaugeFamily("quetzallead_limited_servers",
                   "Backend servers that name a limit, by service.");
+  Family<Gauge> &ColdServers =
+      gaugeFamily("quetzallead_cold_servers",
+                  "Backend servers that are cold and have a cap, by service.");
+  Family<Gauge> &Displaced = gaugeFamily(
+      "quetzallead_displaced_attempts",
+      "Attempts that a full queue has given up since the start, by service.");
+  Family<Gauge> &EvacuatedZones =
+      gaugeFamily("quetzallead_evacuated_zones",
+                  "Availability zones whose servers get no requests.");
+  Family<Counter> &AccountRequests =
+      counterFamily("quetzallead_account_requests_total",
+                    "Requests by account and what its limit made of them.");
   Family<Gauge> &Ready = gaugeFamily("quetzallead_ready", "1 while ready.");
   Family<Gauge> &SheetVersion = gaugeFamily("quetzallead_sheet_version",
                                             "Version of the sheet in force.");
@@ -247,6 +267,7 @@
                   "Attempts beyond the first that may be sent now.");
   BoundedSeries<RouteSeries> Routes{MaxRouteSeries};
   BoundedSeries<ServiceSeries> Services{MaxServiceSeries};
+  BoundedSeries<AccountSeries> Accounts{MaxAccountSeries};
 };
 
 void RelayMetrics::Exporter::requestEnded(const RelayRequestSample &Sample) {
@@ -307,6 +328,22 @@
     S.Latency->Observe(absl::ToDoubleSeconds(Elapsed));
 }
 
+void RelayMetrics::Exporter::accountUsed(const std::string &Account,
+                                         AccountUse Use) {
+  AccountSeries &S =
+      Accounts.findOrCreate(Account, [](const std::string &Name) {
+        AccountSeries NewSeries;
+        NewSeries.Account = Name;
+        return NewSeries;
+      });
+  Counter *&Count = S.Uses[indexOf(Use)];
+  if (Count == nullptr)
+    Count = &AccountRequests.Add(
+        {{"account", S.Account},
+         {"outcome", std::string(nameOf(AccountUseNames, Use))}});
+  Count->Increment();
+}
+
 void RelayMetrics::Exporter::setServices(
     const std::map<std::string, ServiceSnapshot> &Snapshots) {
   std::size_t ServiceCount = 0;
@@ -318,6 +355,8 @@
       Servers.Add({{"service", Name}, {"standing", std::string(StandingName)}})
           .Set(static_cast<double>(S.Servers[indexOf(Standing)]));
     LimitedServers.Add({{"service", Name}}).Set(static_cast<double>(S.Limited));
+    ColdServers.Add(Label).Set(static_cast<double>(S.Cold));
+    Displaced.Add(Label).Set(static_cast<double>(S.Displaced));
     Queued.Add(Label).Set(static_cast<double>(S.Queued));
     AttemptsInFlight.Add(Label).Set(static_cast<double>(S.InFlight));
     Idle.Add(Label).Set(static_cast<double>(S.IdleConnections));
@@ -338,6 +377,7 @@
   InFlight.Add({}).Set(static_cast<double>(Snapshot.RequestsInFlight));
   HeldBytes.Add({}).Set(static_cast<double>(Snapshot.HeldBytes));
   Blocked.Add({}).Set(static_cast<double>(Snapshot.BlockedRequests));
+  EvacuatedZones.Add({}).Set(static_cast<double>(Snapshot.EvacuatedZones));
   setServices(Snapshot.Services);
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
@@ -367,6 +407,10 @@
 
 void RelayMetrics::memoryFreed(MemoryUse Use) { Impl->memoryFreed(Use); }
 
+void RelayMetrics::accountUsed(const std::string &Account, AccountUse Use) {
+  Impl->accountUsed(Account, Use);
+}
+
 void RelayMetrics::serversLost() { Impl->serversLost(); }
 
 void RelayMetrics::serversRegained() { Impl->serversRegained(); }
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -4,6 +4,7 @@
 #include "core/relay/MemoryUse.h"
 #include "quetzallead/AttemptCause.h"
 #include "quetzallead/AttemptResult.h"
+#include "relay/AccountUse.h"
 #include "relay/LoopSteps.h"
 #include "relay/RejectReason.h"
 #include "relay/RelayRequestSample.h"
@@ -22,6 +23,7 @@
   /// Maximum number of routes and services that have series of their own.
   static constexpr std::size_t MaxRouteSeries = 64;
   static constexpr std::size_t MaxServiceSeries = 256;
+  static constexpr std::size_t MaxAccountSeries = 128;
 
   RelayMetrics(const std::string &Instance, const std::string &Zone);
   ~RelayMetrics();
@@ -44,6 +46,8 @@
   /// A request of a caller was handed over to a home because this instance
   /// lacks servers; \p Begun tells whether it had sent it to a server before.
   void requestHandedOver(bool Begun);
+  /// A request has met the limit of \p Account.
+  void accountUsed(const std::string &Account, AccountUse Use);
   /// A backend server has ended while it ran a request.
   void serverEnded();
   /// What was held for \p Use has been ended, since memory was short.
--- a/src/relay/RelaySnapshot.h
+++ b/src/relay/RelaySnapshot.h
@@ -24,6 +24,7 @@
   std::size_t HeldBytes = 0;
   /// Contents of requests that are blocked.
   std::size_t BlockedRequests = 0;
+  std::size_t EvacuatedZones = 0;
   std::map<std::string, ServiceSnapshot> Services;
 };
 
--- a/src/relay/ServerAnnouncements.cpp
+++ b/src/relay/ServerAnnouncements.cpp
@@ -24,8 +24,12 @@
   if (Pause != absl::ZeroDuration())
     onPause(Server, Pause);
   // A misdirected request has reached another server.
-  if (Head.result() != boost::beast::http::status::misdirected_request)
-    onLimit(Server, namedLimit(Head, Headers));
+  if (Head.result() == boost::beast::http::status::misdirected_request)
+    return;
+  onLimit(Server, namedLimit(Head, Headers));
+  if (Server->Warm.RatePerSecond > 0)
+    if (const std::optional<Duration> Left = warmUpLeft(Head, Headers))
+      onWarmUp(Server, *Left);
 }
 
 void ServerAnnouncements::grantPermitsLater() {
@@ -62,6 +66,20 @@
   grantPermitsLater();
 }
 
+void ServerAnnouncements::onWarmUp(const ServerRef &Server, Duration Left) {
+  // Permits may not be granted while the response is being parsed.
+  asio::post(Loop, [this, Server, Left] {
+    if (!State.noteWarmUp(Server, Left, LoopTimers::now()))
+      return;
+    logEvent(LogLevel::Info,
+             Left > absl::ZeroDuration() ? "server_cold" : "server_warm",
+             {{"server", Server->Info.Id},
+              {"service", Server->Info.Service},
+              {"cold_ms", absl::ToInt64Milliseconds(Left)},
+              {"per_second", Server->Warm.RatePerSecond}});
+  });
+}
+
 void ServerAnnouncements::onLimit(const ServerRef &Server,
                                   std::optional<double> PerSecond) {
   const PoolServer &S = *Server;
--- a/src/relay/ServerAnnouncements.h
+++ b/src/relay/ServerAnnouncements.h
@@ -31,6 +31,7 @@
   /// \p PerSecond is negative if it cannot be read, and empty if the response
   /// names no limit.
   void onLimit(const ServerRef &Server, std::optional<double> PerSecond);
+  void onWarmUp(const ServerRef &Server, Duration Left);
   void grantPermitsLater();
 
   boost::asio::io_context &Loop;
--- a/tests/relay/PathEchoServer.h
+++ b/tests/relay/PathEchoServer.h
@@ -64,6 +64,12 @@
     Headers = GivenHeaders;
   }
 
+  /// Head of the last request.
+  std::string lastHead() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return LastHead;
+  }
+
   /// Closes the connection after the first byte of each body.
   std::atomic<bool> BreaksOff{false};
   std::atomic<int> Requests{0};
@@ -89,6 +95,10 @@
         return;
       const std::string Head = Buffer.substr(0, End);
       Buffer.erase(0, End);
+      {
+        std::lock_guard<std::mutex> Lock(Mutex);
+        LastHead = Head;
+      }
       ++Requests;
       const std::string Path = Head.substr(4, Head.find(' ', 4) - 4);
       if (Path == "/crash") {
@@ -125,6 +135,7 @@
   const boost::asio::ip::tcp::endpoint Endpoint = Listener.local_endpoint();
   std::atomic<bool> Stopped{false};
   std::mutex Mutex;
+  std::string LastHead;
   std::string Status = "200 OK";
   std::string Headers;
   std::thread AcceptThread;
