--- a/src/relay/RelayMain.cpp
+++ b/src/relay/RelayMain.cpp
@@ -2,6 +2,7 @@
 #include "relay/RelayDaemon.h"
 #include "runtime/DaemonArguments.h"
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <malloc.h>
 
@@ -38,7 +39,15 @@
     std::cerr << "quetzallead-relayd: " << Fault->text() << "\n";
     return ExitFailed;
   }
-  const auto &S = std::get<RelaySettings>(Loaded);
+  auto &S = std::get<RelaySettings>(Loaded);
+  const char *Regions = std::getenv(ZoneRegionsVariable);
+  if (Regions != nullptr && *Regions != '\0') {
+    auto Applied = capture([&] { return applyZoneRegions(Regions, S); });
+    if (auto *Fault = std::get_if<Error>(&Applied)) {
+      std::cerr << "quetzallead-relayd: " << Fault->text() << "\n";
+      return ExitFailed;
+    }
+  }
   if (Arguments.PrintSettings)
     std::cout << formatRelaySettings(S);
   if (Arguments.PrintSettings || Arguments.CheckSettings)
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -13,24 +13,28 @@
 static constexpr double MaxResource = 1e9;
 static constexpr double MaxHomesPerZone = 1000;
 
+/// Reads an object of regions by availability zone, which may be absent.
+static void readZoneRegions(JsonReader &Reader, const char *Key,
+                            std::map<std::string, std::string> &Out) {
+  const nlohmann::json &Zones = Reader.any(Key);
+  if (!Zones.is_object()) {
+    if (!Zones.is_null())
+      Reader.refuse(Key, "must be an object of regions by zone");
+    return;
+  }
+  for (const auto &[Zone, Region] : Zones.items()) {
+    if (Region.is_string())
+      Out[Zone] = Region.get<std::string>();
+    else
+      Reader.refuse(Key, "the region of " + Zone + " must be a string");
+  }
+}
+
 static RelaySettings readSettings(JsonReader &Reader) {
   RelaySettings S;
   S.Instance = Reader.name("instance");
   S.Zone = Reader.name("zone");
-  if (Reader.has("region"))
-    S.Region = Reader.name("region");
-  const nlohmann::json &Zones = Reader.any("zone_regions");
-  if (Zones.is_object()) {
-    for (const auto &[Zone, Region] : Zones.items()) {
-      if (!Region.is_string())
-        Reader.refuse("zone_regions",
-                      "the region of " + Zone + " is no string");
-      else
-        S.ZoneRegions[Zone] = Region.get<std::string>();
-    }
-  } else if (!Zones.is_null()) {
-    Reader.refuse("zone_regions", "must be an object of regions by zone");
-  }
+  readZoneRegions(Reader, "zone_regions", S.ZoneRegions);
   S.CallerListen = Reader.address("caller_listen");
   S.ReadinessListen = Reader.address("readiness_listen");
   if (Reader.has("metrics_listen"))
@@ -106,12 +110,27 @@
   return namingFile(Path, [&] { return parseRelaySettings(Text.value()); });
 }
 
+Result<bool> applyZoneRegions(absl::string_view Text, RelaySettings &S) {
+  JsonLimits Limits;
+  Limits.MaxBytes = MaxSettingsBytes;
+  Result<nlohmann::json> Zones = parseJsonText(Text, Limits);
+  if (!Zones)
+    return Zones.error();
+  const nlohmann::json Document = {{ZoneRegionsVariable, Zones.value()}};
+  JsonProblem Problem;
+  JsonReader Reader(Document, std::string(), Problem);
+  std::map<std::string, std::string> Regions;
+  readZoneRegions(Reader, ZoneRegionsVariable, Regions);
+  if (Problem)
+    return leaf::new_error(*Problem);
+  S.ZoneRegions = std::move(Regions);
+  return true;
+}
+
 std::string formatRelaySettings(const RelaySettings &S) {
   nlohmann::ordered_json Out;
   Out["instance"] = S.Instance;
   Out["zone"] = S.Zone;
-  if (!S.Region.empty())
-    Out["region"] = S.Region;
   if (!S.ZoneRegions.empty())
     Out["zone_regions"] = S.ZoneRegions;
   Out["caller_listen"] = S.CallerListen;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -15,9 +15,7 @@
 struct RelaySettings {
   std::string Instance;
   std::string Zone;
-  /// Region of Zone; empty if the deployment names no regions.
-  std::string Region;
-  /// Region by availability zone.
+  /// Region by availability zone; empty if the deployment names no regions.
   std::map<std::string, std::string> ZoneRegions;
   std::string CallerListen;
   std::string ReadinessListen;
@@ -57,6 +55,14 @@
 /// \p Path. Fails with NotFound if the file cannot be read.
 Result<RelaySettings> loadRelaySettings(const std::string &Path);
 
+/// Environment variable that overrides RelaySettings::ZoneRegions: a deployment
+/// that fills in settings files for several builds need not change their form.
+inline constexpr char ZoneRegionsVariable[] = "QUETZALLEAD_ZONE_REGIONS";
+
+/// Sets the regions from \p Text, a JSON object of regions by zone. Fails with
+/// InvalidArgument and leaves \p S as it is if it is none.
+Result<bool> applyZoneRegions(absl::string_view Text, RelaySettings &S);
+
 /// Formats the effective settings as indented JSON that parseRelaySettings()
 /// accepts.
 std::string formatRelaySettings(const RelaySettings &S);
--- a/tests/relay/RelaySettingsTest.cpp
+++ b/tests/relay/RelaySettingsTest.cpp
@@ -56,3 +56,18 @@
   Text.replace(Text.find("\"per_zone\": 4"), 13, "\"per_zone\": 0");
   EXPECT_NE(parseErrorOf(Text).find("homes.per_zone"), std::string::npos);
 }
+
+TEST(RelaySettingsTest, RegionsOfZonesAreReadOrRefusedWhole) {
+  RelaySettings S;
+  S.ZoneRegions = {{"a", "north"}};
+  auto Apply = [&](const char *Text) {
+    auto Applied = capture([&] { return applyZoneRegions(Text, S); });
+    return std::holds_alternative<bool>(Applied);
+  };
+  EXPECT_TRUE(Apply(R"({"a": "south", "b": "north"})"));
+  EXPECT_EQ(S.ZoneRegions.size(), 2U);
+  for (const char *Odd : {R"({"a": 1})", R"(["a"])", R"("a")", "{", ""})
+    EXPECT_FALSE(Apply(Odd)) << Odd;
+  EXPECT_EQ(S.ZoneRegions.size(), 2U);
+  EXPECT_EQ(S.ZoneRegions["a"], "south");
+}
