--- a/tests/relay/AccountTableTest.cpp
+++ b/tests/relay/AccountTableTest.cpp
@@ -90,6 +90,7 @@
   std::vector<ClientAccount> Accounts;
   for (int I = 0; I < 1000; ++I) {
     std::vector<std::string> Keys;
+    Keys.reserve(100);
     for (int K = 0; K < 100; ++K)
       Keys.push_back("key-" + std::to_string(I) + "-" + std::to_string(K));
     Accounts.push_back(account("a" + std::to_string(I), std::move(Keys)));
--- a/tests/relay/WaitQueueTest.cpp
+++ b/tests/relay/WaitQueueTest.cpp
@@ -38,6 +38,7 @@
 TEST(WaitQueueTest, WithoutAccountsTheOldestGoesFirst) {
   WaitQueue Queue(QueueOrder::OldestFirst);
   std::vector<std::uint64_t> Ids;
+  Ids.reserve(5);
   for (int I = 0; I < 5; ++I)
     Ids.push_back(Queue.add(request(""), nullptr));
   for (std::uint64_t Id : Ids)
--- a/tests/relay/WarmUpTest.cpp
+++ b/tests/relay/WarmUpTest.cpp
@@ -51,6 +51,7 @@
 TEST_F(WarmUpTest, AllInstancesTogetherKeepToTheCap) {
   constexpr int Count = 6;
   std::vector<std::string> Names;
+  Names.reserve(Count);
   for (int I = 0; I < Count; ++I)
     Names.push_back("i" + std::to_string(I));
   TimePoint Now = absl::UnixEpoch() + absl::Hours(1);
