--- a/src/relay/ZoneEvacuations.cpp
+++ b/src/relay/ZoneEvacuations.cpp
@@ -55,8 +55,8 @@
   scheduleExpiry();
   if (!Changed)
     return;
-  const std::set<std::string> Now = Zones.zones();
-  for (const std::string &Zone : Now) {
+  const std::set<std::string> Current = Zones.zones();
+  for (const std::string &Zone : Current) {
     if (InForce.count(Zone) != 0)
       continue;
     logEvent(LogLevel::Info, "zone_evacuated",
@@ -67,12 +67,12 @@
   }
   bool Returned = false;
   for (const std::string &Zone : InForce)
-    if (Now.count(Zone) == 0) {
+    if (Current.count(Zone) == 0) {
       Returned = true;
       logEvent(LogLevel::Info, "zone_returned",
                {{"evacuated", Zone}, {"source", Source}});
     }
-  InForce = Now;
+  InForce = Current;
   // The servers that remain take the load of the others.
   const std::vector<ServerRef> Remaining =
       State.setEvacuatedZones(InForce, LoopTimers::now());
