relay: a part does not return to a server beyond the objective

A request to a service with one server, or for which the extra load was spent, was held until its deadline while the server turned it away. Parts return until the objective, and a part that starts over counts its servers anew. ShedAcrossShardsTest.RequestIsNotHeldForAServerThatTakesNothing, red before.

--- a/src/core/relay/RelayRequest.cpp
+++ b/src/core/relay/RelayRequest.cpp
@@ -115,7 +115,8 @@
 bool RelayRequest::mayAttempt(const Part &P, TimePoint Now) const {
   // A part that a server may have run is not sent to another one again.
   return P.Sent < maxAttempts() ||
-         (P.NotRunServers.size() == P.TriedServers.size() &&
+         (Now <= Plan.ObjectiveDeadline &&
+          P.NotRunServers.size() == P.TriedServers.size() &&
           std::any_of(P.NotRunServers.begin(), P.NotRunServers.end(),
                       [&](const ServerRef &S) {
                         return S->takesAttempts() &&
@@ -532,6 +533,7 @@
   P.State = PartState::Open;
   --FailedParts;
   P.TriedServers.clear();
+  P.NotRunServers.clear();
   P.RetryAt = Now + AllServersTriedDelay;
 }
 
--- a/tests/relay/ShedAcrossShardsTest.cpp
+++ b/tests/relay/ShedAcrossShardsTest.cpp
@@ -124,6 +124,23 @@
   EXPECT_EQ(H.Verdict->Outcome, RelayOutcome::Rejected);
 }
 
+// The only server of a service turned everything away, and its callers waited
+// until their deadline.
+TEST(ShedAcrossShardsTest, RequestIsNotHeldForAServerThatTakesNothing) {
+  RelayRequestHarness H(1, 1);
+  H.startRequest();
+  const TimePoint Begin = H.Now;
+  std::size_t Ended = 0;
+  while (!H.answered() && H.Now - Begin < absl::Milliseconds(500)) {
+    for (; Ended < H.SentServers.size() && !H.answered(); ++Ended)
+      H.endAttempt(Ended, AttemptResult::Shed);
+    H.advance(absl::Milliseconds(1));
+  }
+  ASSERT_TRUE(H.answered());
+  EXPECT_EQ(H.Verdict->Outcome, RelayOutcome::Rejected);
+  EXPECT_LE(H.Now - Begin, H.RequestRoute.Objective + absl::Milliseconds(12));
+}
+
 TEST(ShedAcrossShardsTest, ServerIsUsedAgainSoonAfterItTakesRequests) {
   RelayRequestHarness H(1);
   for (int I = 0; I < 30; ++I) {
