tests: an evacuation is awaited until what was sent before it is counted

EvacuationTest.EvacuatedZoneGetsNoRequestsUntilItReturns failed once in 783 release tests beside a sanitizer's build: request 3 had been sent to the server before the evacuation (log: zone_evacuated 66 us before its hedge), and the stand-in counted it after the test had read its count. The test now waits for five requests in a row at the other server, and checks 20 as before.

--- a/tests/relay/EvacuationTest.cpp
+++ b/tests/relay/EvacuationTest.cpp
@@ -18,6 +18,19 @@
     await([&] { return ask() == 200 && Backend.Requests > 0; });
     absl::SleepFor(absl::Milliseconds(1500));
   }
+  /// Waits until the evacuation is in force and what was sent before has been
+  /// counted: a hedge may reach the second server beside such a request.
+  void awaitOnlySecond() {
+    await([&] {
+      const int Before = Backend.Requests;
+      const int SecondBefore = Second.Requests;
+      for (int I = 0; I < 5; ++I)
+        if (ask() != 200)
+          return false;
+      return Backend.Requests == Before && Second.Requests == SecondBefore + 5;
+    });
+    absl::SleepFor(absl::Milliseconds(100));
+  }
   void expectOnlySecond(int Count) {
     const int Before = Backend.Requests;
     const int SecondBefore = Second.Requests;
@@ -34,10 +47,7 @@
   putSecond();
   awaitBoth();
   Store.put("op/evacuate/a", "{}");
-  await([&] {
-    const int Before = Second.Requests;
-    return ask() == 200 && Second.Requests > Before;
-  });
+  awaitOnlySecond();
   expectOnlySecond(20);
   Store.remove("op/evacuate/a");
   const int Before = Backend.Requests;
