relay: interim responses without end are a bad reply

The request itself was held until its deadline.

Cause: nothing bounded interim responses, and each was parsed in a call within the call for the one before, which copied all bytes that had arrived: the time for a read of 16 KB grew with the square of the responses in it.

An exchange gets as many bytes of interim responses as a head may have, 64 KB; more are a bad_reply with the defect interim_responses.

--- a/src/core/http/ResponseDefect.h
+++ b/src/core/http/ResponseDefect.h
@@ -18,6 +18,7 @@
   ContentCoding,    ///< The body is not the one that was asked for.
   Framing,          ///< Chunks or trailer fields cannot be parsed.
   TooLarge,         ///< A head, a body or the framing exceeds its limit.
+  InterimResponses, ///< More of them than a head may have bytes.
   OtherRequest,     ///< The response names another request.
 };
 
@@ -33,6 +34,7 @@
     {ResponseDefect::ContentCoding, "content_coding"},
     {ResponseDefect::Framing, "framing"},
     {ResponseDefect::TooLarge, "too_large"},
+    {ResponseDefect::InterimResponses, "interim_responses"},
     {ResponseDefect::OtherRequest, "other_request"},
 };
 
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -81,6 +81,7 @@
   AnyBytesSent = false;
   Discarding = false;
   DiscardedBytes = 0;
+  InterimBytes = 0;
   Hold.setUse(Limits.Use);
   Hold.setUsualBytes(Current.UsualBytes);
   Hold.noteProgress(LoopTimers::now());
@@ -307,6 +308,11 @@
 }
 
 bool HttpConnection::passInterim() {
+  InterimBytes += HeadBytes;
+  if (InterimBytes > Limits.HeaderBytes) {
+    refuse(ResponseDefect::InterimResponses);
+    return false;
+  }
   const HttpResponseHead Interim = ResponseParser->get().base();
   resetParser();
   if (Current.OnInformational)
--- a/src/relay/HttpConnection.h
+++ b/src/relay/HttpConnection.h
@@ -129,6 +129,8 @@
   /// The head of the current response, and the bytes of its complete lines.
   ResponseHead Head;
   std::size_t HeadBytes = 0;
+  /// Bytes of the interim responses to the current exchange.
+  std::size_t InterimBytes = 0;
   bool Discarding = false;
   /// Bytes of the body that have been discarded.
   std::size_t DiscardedBytes = 0;
--- a/tests/relay/EndlessBytesTest.cpp
+++ b/tests/relay/EndlessBytesTest.cpp
@@ -15,6 +15,10 @@
   std::size_t Expansion = 1;
 };
 
+std::ostream &operator<<(std::ostream &Out, const EndlessAnswer &Answer) {
+  return Out << Answer.Name;
+}
+
 const EndlessAnswer EndlessAnswers[] = {
     {"NoLength", "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n",
      std::string(65536, 'x')},
@@ -38,6 +42,21 @@
      "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nTransfer-Encoding: "
      "chunked\r\n\r\n0\r\nX: ",
      std::string(65536, 'x')},
+    {"NoProtocol", "", std::string(65536, 'x')},
+    {"Nuls", "", std::string(65536, '\0')},
+    {"EmptyLines", "", "\r\n\r\n\r\n\r\n"},
+    {"StatusDigits", "HTTP/1.1 2", std::string(65536, '0')},
+    {"Reason", "HTTP/1.1 200 ", std::string(65536, 'x')},
+    {"Fields", "HTTP/1.1 200 OK\r\n", "X-Name: value\r\n"},
+    {"FieldName", "HTTP/1.1 200 OK\r\n", std::string(65536, 'x')},
+    {"FieldValue", "HTTP/1.1 200 OK\r\nX: ", std::string(65536, 'x')},
+    {"TrailerFields",
+     "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n0\r\n",
+     "X-Name: value\r\n"},
+    {"Status000", "HTTP/1.1 000 OK\r\nServer-Stamp: s\r\n\r\n",
+     std::string(65536, 'x')},
+    {"Interim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
 };
 
 constexpr std::size_t MiB = 1 << 20;
@@ -58,7 +77,11 @@
     Text.insert(Text.find(Routes) + Routes.size(),
                 R"({"name": "other", "host": "h", "prefix": "/other/",
                     "type": "idempotent", "timeout_ms": 3000, "slo_ms": 1000,
-                    "priority": 1, "service": "y", "max_attempts": 1}, )");
+                    "priority": 1, "service": "y", "max_attempts": 1},
+                   {"name": "survey", "host": "h", "prefix": "/survey/",
+                    "type": "idempotent", "timeout_ms": 2000, "slo_ms": 500,
+                    "priority": 1, "gather": ["x", "y"], "top_k": 4,
+                    "min_shard_ratio": 0.5, "max_attempts": 1}, )");
     Store.put("op/config", Text);
     await([&] { return ask() == 200; });
     absl::SleepFor(absl::Seconds(1));
@@ -78,6 +101,18 @@
                                  static_cast<std::uint16_t>(CallerPort)));
     return Caller;
   }
+  /// Sends the bytes of \p Answer until the relay has closed.
+  static void sendEndless(tcp::socket &Peer, const EndlessAnswer &Answer,
+                          std::atomic<std::size_t> &Sent) {
+    bool Open = ByteServer::send(Peer, Answer.Head);
+    std::string Piece;
+    while (Piece.size() < 65536)
+      Piece += Answer.Piece;
+    while (Open) {
+      Open = ByteServer::send(Peer, Piece);
+      Sent += Piece.size();
+    }
+  }
   void send(tcp::socket &Caller, const std::string &Text) {
     boost::system::error_code Ignored;
     boost::asio::write(Caller, boost::asio::buffer(Text), Ignored);
@@ -101,6 +136,20 @@
 class EndlessAnswerTest : public ScarceMemoryTest,
                           public testing::WithParamInterface<EndlessAnswer> {};
 
+/// Where the bytes come in other places than the answer to a plain request.
+class EndlessBytesElsewhereTest : public EndlessAnswerTest {};
+
+/// Those of EndlessAnswers that are read in different ways.
+std::vector<EndlessAnswer> differentEndlessAnswers() {
+  std::vector<EndlessAnswer> Out;
+  for (const EndlessAnswer &Answer : EndlessAnswers)
+    for (const char *Name : {"NoLength", "Chunks", "NoProtocol", "FieldName",
+                             "StatusDigits", "Interim"})
+      if (Name == std::string(Answer.Name))
+        Out.push_back(Answer);
+  return Out;
+}
+
 } // namespace
 
 // A few answers without end took a process beyond its memory; it was killed
@@ -110,14 +159,7 @@
   std::atomic<std::size_t> Sent{0};
   std::atomic<int> Ended{0};
   ByteServer Faulty([&](tcp::socket &Peer, const ByteServer::Request &) {
-    bool Open = ByteServer::send(Peer, GetParam().Head);
-    std::string Piece;
-    while (Piece.size() < 65536)
-      Piece += GetParam().Piece;
-    while (Open) {
-      Open = ByteServer::send(Peer, Piece);
-      Sent += Piece.size();
-    }
+    sendEndless(Peer, GetParam(), Sent);
     ++Ended;
     return false;
   });
@@ -147,6 +189,83 @@
                          testing::ValuesIn(EndlessAnswers),
                          [](const auto &Case) { return Case.param.Name; });
 
+TEST_P(EndlessBytesElsewhereTest, PartsWithoutEndAreLeftOut) {
+  static constexpr int Callers = 3;
+  std::atomic<std::size_t> Sent{0};
+  std::atomic<int> Ended{0};
+  ByteServer Faulty([&](tcp::socket &Peer, const ByteServer::Request &) {
+    sendEndless(Peer, GetParam(), Sent);
+    ++Ended;
+    return false;
+  });
+  putOther(Faulty);
+  std::vector<tcp::socket> Waiting;
+  Waiting.reserve(Callers);
+  for (int I = 0; I < Callers; ++I) {
+    Waiting.push_back(connect());
+    send(Waiting.back(), get("/survey/12345678"));
+  }
+  expectOthersServed();
+  for (tcp::socket &Caller : Waiting) {
+    std::string Text;
+    boost::system::error_code Fault;
+    boost::asio::read_until(Caller, boost::asio::dynamic_buffer(Text),
+                            "\r\n\r\n", Fault);
+    EXPECT_EQ(Text.substr(0, 15), "HTTP/1.1 200 OK");
+    EXPECT_NE(Text.find("Missing-Parts: 1\r\n"), std::string::npos);
+  }
+  await([&] { return Ended == Callers; });
+  EXPECT_LT(Sent / GetParam().Expansion / Callers, 12 * MiB);
+}
+
+// The bytes belong to no request; the answer before them is whole.
+TEST_P(EndlessBytesElsewhereTest, BytesAfterAnAnswerEndTheConnection) {
+  static constexpr int Callers = 6;
+  std::atomic<std::size_t> Sent{0};
+  std::atomic<int> Ended{0};
+  std::atomic<bool> AtOnce{true};
+  std::atomic<int> Asked{0};
+  ByteServer Faulty([&](tcp::socket &Peer, const ByteServer::Request &) {
+    // No caller may get the connection of another one.
+    ++Asked;
+    while (Asked < Callers)
+      absl::SleepFor(absl::Milliseconds(1));
+    ByteServer::send(Peer, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n"
+                           "Content-Length: 0\r\n\r\n");
+    if (!AtOnce)
+      absl::SleepFor(absl::Milliseconds(50));
+    sendEndless(Peer, GetParam(), Sent);
+    ++Ended;
+    return false;
+  });
+  putOther(Faulty);
+  for (bool Given : {true, false}) {
+    AtOnce = Given;
+    Ended = 0;
+    Asked = 0;
+    std::vector<tcp::socket> Waiting;
+    Waiting.reserve(Callers);
+    for (int I = 0; I < Callers; ++I) {
+      Waiting.push_back(connect());
+      send(Waiting.back(), get("/other/1"));
+    }
+    for (tcp::socket &Caller : Waiting) {
+      std::string Text;
+      boost::system::error_code Fault;
+      boost::asio::read_until(Caller, boost::asio::dynamic_buffer(Text),
+                              "\r\n\r\n", Fault);
+      EXPECT_EQ(Text.substr(0, 15), "HTTP/1.1 200 OK");
+    }
+    expectOthersServed();
+    await([&] { return Ended == Callers; });
+  }
+  EXPECT_LT(Sent / Callers, 12 * MiB);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, EndlessBytesElsewhereTest,
+                         testing::ValuesIn(differentEndlessAnswers()),
+                         [](const auto &Case) { return Case.param.Name; });
+
 // Callers that stopped within long bodies took a process beyond its memory.
 TEST_F(ScarceMemoryTest, StalledCallersWereHeldUntilTheTimeout) {
   static constexpr int Callers = 40;
--- a/tests/relay/HttpConnectionTest.cpp
+++ b/tests/relay/HttpConnectionTest.cpp
@@ -146,3 +146,19 @@
     }
   EXPECT_EQ(Interims, 3);
 }
+
+// A server that sent interim responses without end kept the loop busy until the
+// deadline; others were served a third less often.
+TEST_F(HttpConnectionTest, InterimResponsesWithoutEndAreABadReply) {
+  respond([](tcp::socket &Peer) {
+    std::string Piece;
+    while (Piece.size() < 16384)
+      Piece += "HTTP/1.1 100 Continue\r\n\r\n";
+    while (ByteServer::send(Peer, Piece)) {
+    }
+    return false;
+  });
+  EXPECT_EQ(exchange().Result, AttemptResult::BadReply);
+  EXPECT_LE(Interims, 65536 / 25);
+  EXPECT_FALSE(Connection->open());
+}
