relay: the fields of a trailer are not among those of the head

What callers saw: fields that a server sent after a body in chunks were taken for fields of the head. Not-Executed there had a request that had run answered 503, "not run"; Request-Id there had a whole answer refused as another request's; others were passed on as header lines.

Cause: the parser adds both to the same fields.

Change: the fields of the head are kept when it is complete, if the body comes in chunks, and the response gets them back at its end. Trailer fields are dropped, as RFC 9110, 6.5.1 asks for where their meaning is not known.

--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -101,6 +101,7 @@
 void HttpConnection::resetParser() {
   Head = ResponseHead();
   HeadBytes = 0;
+  HeadFields.reset();
   ResponseParser.emplace();
   ResponseParser->eager(true);
   ResponseParser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
@@ -252,6 +253,8 @@
 }
 
 void HttpConnection::onHead() {
+  if (Head.Chunked)
+    HeadFields = ResponseParser->get().base();
   if (!isInterim(Head) && Current.OnHead)
     Current.OnHead(ResponseParser->get().base());
 }
@@ -377,6 +380,8 @@
 }
 
 void HttpConnection::complete(bool Reusable) {
+  if (HeadFields)
+    ResponseParser->get().base() = std::move(*HeadFields);
   if (hasMismatchedEcho(ResponseParser->get(), Current)) {
     refuse(ResponseDefect::OtherRequest);
     return;
--- a/src/relay/HttpConnection.h
+++ b/src/relay/HttpConnection.h
@@ -129,6 +129,9 @@
   /// The head of the current response, and the bytes of its complete lines.
   ResponseHead Head;
   std::size_t HeadBytes = 0;
+  /// The fields of the head of a response in chunks: the parser adds those of
+  /// the trailer to them.
+  std::optional<HttpResponseHead> HeadFields;
   /// Bytes of the interim responses to the current exchange.
   std::size_t InterimBytes = 0;
   bool Discarding = false;
--- a/tests/relay/BrokenAnswerTest.cpp
+++ b/tests/relay/BrokenAnswerTest.cpp
@@ -115,6 +115,20 @@
   }
 }
 
+// Fields after a body were taken for fields of the head: Not-Executed made a
+// request that had run one that had not, and others were passed on.
+TEST_F(BrokenAnswerTest, TrailerFieldsAreNoFieldsOfTheHead) {
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n";
+  setAnswer(framedBytes(Chunked, "2\r\nok\r\n0\r\nNot-Executed: 1\r\n"
+                                 "X-Trailer: t\r\nRequest-Id: other\r\n\r\n"));
+  const std::string Text = askBroken("/once/a");
+  EXPECT_EQ(Text.substr(0, 15), "HTTP/1.1 200 OK");
+  EXPECT_THAT(Text, Not(HasSubstr("X-Trailer")));
+  EXPECT_THAT(Text, Not(HasSubstr("Not-Executed")));
+  EXPECT_THAT(Text, Not(HasSubstr("other")));
+  EXPECT_THAT(Text, HasSubstr(BrokenStamp));
+}
+
 namespace {
 
 /// The servers of the broken one's service start cold, and are asked whether
--- a/tests/relay/HttpConnectionTest.cpp
+++ b/tests/relay/HttpConnectionTest.cpp
@@ -142,6 +142,7 @@
       const HttpExchangeResult End = exchange();
       ASSERT_EQ(End.Result, AttemptResult::Answered);
       EXPECT_EQ(End.Response->body(), BrokenBody);
+      EXPECT_EQ(End.Response->count("X-Trailer"), 0u);
       EXPECT_EQ(Heads, 1);
     }
   EXPECT_EQ(Interims, 3);
