peer transport: the head of an answer to a dial is checked

What was seen: whoever listens at the address of another instance of quetzalleadd could answer the upgrade with a status such as 600, which websocketpp converts to its enum of statuses: undefined behaviour. No link was made, but what the process then does is not defined; UBSan ends it.

Cause: the library converts whatever number the status line has.

Change: CheckedPeerResponse, the library's response with ResponseHead before it. A defect throws the library's own exception, which fails the dial. A head knows whether its request has asked for another protocol.

Evidence: PeerTransportTest.BrokenAnswersToADialMakeNoLink ends by UBSan in the asan build of the unchanged transport ("load of value 600"), and passes now. EndlessAnswersToADialAreEndedEarly passed before: seven answers without end fail the dial at once.

--- a/src/core/http/ResponseDefect.h
+++ b/src/core/http/ResponseDefect.h
@@ -10,7 +10,7 @@
   None,
   StatusLine,       ///< Not an HTTP/1.x status line.
   StatusCode,       ///< Outside 100 to 599.
-  Upgrade,          ///< To another protocol, which no request asks for.
+  Upgrade,          ///< To a protocol that the request did not ask for.
   FieldName,        ///< Not a token followed by a colon.
   FieldValue,       ///< Holds a control byte, or is folded.
   ContentLength,    ///< Not a number, or several.
--- a/src/core/http/ResponseHead.cpp
+++ b/src/core/http/ResponseHead.cpp
@@ -71,8 +71,9 @@
   if (Status < MinStatus || Status > MaxStatus)
     return ResponseDefect::StatusCode;
   Head.Status = Status;
-  return Status == StatusSwitchingProtocols ? ResponseDefect::Upgrade
-                                            : ResponseDefect::None;
+  return Status == StatusSwitchingProtocols && !Head.MayUpgrade
+             ? ResponseDefect::Upgrade
+             : ResponseDefect::None;
 }
 
 /// A list of the same number several times is that number.
--- a/src/core/http/ResponseHead.h
+++ b/src/core/http/ResponseHead.h
@@ -13,6 +13,8 @@
 /// RFC 9110 and RFC 9112. All readers of responses use it: what their libraries
 /// accept differs, and is more.
 struct ResponseHead {
+  /// The request has asked for another protocol; set before the first line.
+  bool MayUpgrade = false;
   /// The first defect found.
   ResponseDefect Defect = ResponseDefect::None;
   /// 0 until the status line has been read.
--- a/src/transport/peer/PeerTransport.cpp
+++ b/src/transport/peer/PeerTransport.cpp
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "runtime/Endpoint.h"
 #include "runtime/TimerService.h"
+#include "transport/peer/CheckedPeerResponse.h"
 #include "transport/peer/PeerCodec.h"
 #include "transport/peer/PeerHandshake.h"
 #include "transport/peer/PeerLinkChoice.h"
@@ -50,6 +51,7 @@
 };
 
 struct ClientConfig : websocketpp::config::asio_client {
+  using response_type = CheckedPeerResponse;
   static const std::size_t max_message_size = MaxPeerFrameBytes;
   static const std::size_t max_http_body_size = MaxHandshakeFrameBytes;
   static const long timeout_open_handshake = HandshakeTimeoutMs;
--- a/tests/transport/PeerTransportTest.cpp
+++ b/tests/transport/PeerTransportTest.cpp
@@ -1,6 +1,7 @@
 #include "transport/peer/PeerTransport.h"
 #include "absl/strings/str_cat.h"
 #include "runtime/TimerService.h"
+#include "support/BrokenAnswers.h"
 #include "support/LiveSockets.h"
 #include "transport/Inbox.h"
 #include "transport/RawListener.h"
@@ -237,6 +238,56 @@
   EXPECT_EQ(A.Ups.size(), 0u);
 }
 
+TEST_F(PeerTransportTest, BrokenAnswersToADialMakeNoLink) {
+  RawListener Listener;
+  for (const BrokenAnswer &Answer : brokenAnswers()) {
+    SCOPED_TRACE(Answer.Name);
+    A.Transport->connect(Listener.address());
+    RawConnection Peer = Listener.accept();
+    Peer.readThrough("\r\n\r\n");
+    Peer.send(Answer.Bytes);
+    Peer.close();
+    EXPECT_TRUE(A.Failures.next().has_value());
+  }
+  EXPECT_EQ(A.Ups.size(), 0u);
+  // The transport still works.
+  link();
+}
+
+TEST_F(PeerTransportTest, EndlessAnswersToADialAreEndedEarly) {
+  const std::string Long(65536, 'x');
+  const std::pair<std::string, std::string> Endless[] = {
+      {"", Long},
+      {"", "\r\n\r\n"},
+      {"HTTP/1.1 1", "0000000000"},
+      {"HTTP/1.1 101 Switching Protocols\r\n", "X-A: a\r\n"},
+      {"HTTP/1.1 101 Switching Protocols\r\nX-A: ", Long},
+      {"HTTP/1.1 200 OK\r\n\r\n", Long},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 50000000\r\n\r\n", Long},
+  };
+  static constexpr std::size_t MaxSent = std::size_t{16} << 20;
+  RawListener Listener;
+  for (const auto &[Head, Piece] : Endless) {
+    SCOPED_TRACE(Head + Piece.substr(0, 40));
+    A.Transport->connect(Listener.address());
+    RawConnection Peer = Listener.accept();
+    Peer.readThrough("\r\n\r\n");
+    std::string Block;
+    while (Block.size() < 65536)
+      Block += Piece;
+    std::size_t Sent = 0;
+    bool Open = Peer.send(Head);
+    while (Open && Sent < MaxSent) {
+      Open = Peer.send(Block);
+      Sent += Block.size();
+    }
+    EXPECT_FALSE(Open);
+    Peer.close();
+    EXPECT_TRUE(A.Failures.next().has_value());
+  }
+  EXPECT_EQ(A.Ups.size(), 0u);
+}
+
 TEST_F(PeerTransportTest, RefusesAPeerWithAnotherKey) {
   Node C{"c", {"other"}};
   C.start();
