http client: heads and trailers are checked before libcurl takes them

What was seen: quetzalleadd, whose client is libcurl, took for answers what is none: status 600, 700 and 999, HTTP/2.0 and http/1.1, names of fields with blanks, control bytes, separators or nothing, values with control bytes, reason phrases with control bytes, bare line feeds. Trailer fields counted as fields of the head, so that a trailer could echo the identifier that the head lacked. After a head whose first field line began with a blank the process used memory that it had freed, and ended with the requests of all its callers.

Cause: libcurl splits lines, and passes them on; CurlTransfer took whatever had a colon.

Change: the lines of a head come by the debug callback, which precedes the library's own use of them, and go to ResponseHead, as in the relay. At a defect the transfer is paused, so that the library leaves the line alone, and ended after the call. Such a call ends as BadResponse, which is a bad_reply: it may have run. A trailer's lines are checked and dropped. An interim response no longer lets a connection be kept by its echo. The details of the attempt and the line response_refused name the defect.

--- a/src/daemon/BackendCodec.cpp
+++ b/src/daemon/BackendCodec.cpp
@@ -58,6 +58,7 @@
   case TransferFailure::Cancelled:
     return AttemptResult::Cancelled;
   case TransferFailure::TooLarge:
+  case TransferFailure::BadResponse:
     return AttemptResult::BadReply;
   default:
     return AttemptResult::Lost;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -318,6 +318,11 @@
   static HttpClient::Options clientOptions(const Settings &S) {
     HttpClient::Options Out;
     Out.Threads = S.Transport.ClientThreads;
+    Out.OnBadResponse = [](const std::string &Address,
+                           absl::string_view Defect) {
+      logEvent(LogLevel::Warning, "response_refused",
+               {{"address", Address}, {"defect", Defect}});
+    };
     return Out;
   }
   static PlatformClient::Options platformOptions(const Settings &S) {
--- a/src/transport/http/CurlTransfer.cpp
+++ b/src/transport/http/CurlTransfer.cpp
@@ -53,11 +53,8 @@
          Call.Method == "PATCH";
 }
 
-/// True if \p StatusLine, "HTTP/1.1 CODE REASON", has a code from 100 to 199.
-bool isInterim(absl::string_view StatusLine) {
-  std::size_t Space = StatusLine.find(' ');
-  return Space != absl::string_view::npos &&
-         absl::StartsWith(StatusLine.substr(Space + 1), "1");
+bool isEmptyLine(absl::string_view Line) {
+  return Line == "\r\n" || Line == "\n";
 }
 
 long timeoutMs(Duration Timeout) {
@@ -98,6 +95,12 @@
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &onHeader);
   curl_easy_setopt(Easy, CURLOPT_HEADERDATA, this);
+  // Gets the lines of heads, but for the empty ones, before the library
+  // interprets them: it would append a folded first field to a field of an
+  // earlier response, which has been freed.
+  curl_easy_setopt(Easy, CURLOPT_VERBOSE, 1L);
+  curl_easy_setopt(Easy, CURLOPT_DEBUGFUNCTION, &onDebug);
+  curl_easy_setopt(Easy, CURLOPT_DEBUGDATA, this);
   curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &onRequestStart);
   curl_easy_setopt(Easy, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(Easy, CURLOPT_OPENSOCKETFUNCTION, &onOpenSocket);
@@ -187,48 +190,76 @@
   return Bytes;
 }
 
+int CurlTransfer::onDebug(void *, int Type, char *Data, std::size_t Size,
+                          void *Cls) {
+  if (Type == CURLINFO_HEADER_IN)
+    static_cast<CurlTransfer *>(Cls)->checkHeadLine({Data, Size});
+  return 0;
+}
+
+void CurlTransfer::checkHeadLine(absl::string_view Line) {
+  if (isEmptyLine(Line) || Head.Defect != ResponseDefect::None)
+    return;
+  if (Head.Complete) {
+    if (!isInterim(Head))
+      return;
+    // The final response replaces an interim one.
+    Head = ResponseHead();
+    Response.Headers = HttpFields();
+    Echoed = false;
+    curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, Call.RequireEcho ? 1L : 0L);
+  }
+  addHeadLine(Head, Line);
+  if (Head.Defect == ResponseDefect::None)
+    return;
+  // Keeps the library from interpreting the line.
+  curl_easy_pause(Easy, CURLPAUSE_RECV);
+  OnDefect();
+}
+
 std::size_t CurlTransfer::onHeader(char *Data, std::size_t Size,
                                    std::size_t Count, void *Cls) {
   auto *Self = static_cast<CurlTransfer *>(Cls);
   std::size_t Bytes = Size * Count;
-  return Self->acceptHeaderLine(Data, Bytes) ? Bytes : 0;
+  return Self->acceptHeaderLine({Data, Bytes}) ? Bytes : 0;
 }
 
-bool CurlTransfer::acceptHeaderLine(const char *Data, std::size_t Size) {
-  HeaderBytes += Size;
+bool CurlTransfer::acceptHeaderLine(absl::string_view Line) {
+  HeaderBytes += Line.size();
   TooLarge = HeaderBytes > MaxHeaderBytes;
-  absl::string_view Line =
-      absl::StripAsciiWhitespace(absl::string_view(Data, Size));
-  if (absl::StartsWith(Line, "HTTP/")) {
-    // The final response replaces an interim one.
-    Response.Headers = HttpFields();
-    Echoed = false;
-    Interim = isInterim(Line);
-    return !TooLarge;
-  }
-  if (Line.empty() && !Interim)
-    HeaderEnded = true;
-  std::size_t Colon = Line.find(':');
-  if (Colon != absl::string_view::npos)
-    acceptHeaderField(
-        std::string(Line.substr(0, Colon)),
-        std::string(absl::StripAsciiWhitespace(Line.substr(Colon + 1))));
-  return !TooLarge;
+  if (TooLarge)
+    return false;
+  if (Head.Complete)
+    return acceptTrailerLine(Line);
+  // checkHeadLine() has seen the others.
+  if (isEmptyLine(Line))
+    addHeadLine(Head, Line);
+  else if (!absl::StartsWith(Line, "HTTP/"))
+    acceptHeaderField(splitFieldLine(Line));
+  return Head.Defect == ResponseDefect::None;
+}
+
+bool CurlTransfer::acceptTrailerLine(absl::string_view Line) {
+  // The fields of a trailer are not among those of the head.
+  if (!isEmptyLine(Line) && checkFieldLine(Line) != ResponseDefect::None)
+    Head.Defect = ResponseDefect::Framing;
+  return Head.Defect == ResponseDefect::None;
 }
 
-void CurlTransfer::acceptHeaderField(const std::string &Name,
-                                     std::string Value) {
-  if (Call.RequireEcho && absl::EqualsIgnoreCase(Name, EchoHeader)) {
+void CurlTransfer::acceptHeaderField(const FieldLine &Field) {
+  if (Call.RequireEcho && absl::EqualsIgnoreCase(Field.Name, EchoHeader)) {
     const std::string *Wanted = Call.Headers.find(EchoHeader);
-    Echoed = Wanted != nullptr && *Wanted == Value;
+    Echoed = Wanted != nullptr && *Wanted == Field.Value;
     curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, Echoed ? 0L : 1L);
   }
-  Response.Headers.add(Name, std::move(Value));
+  Response.Headers.add(std::string(Field.Name), std::string(Field.Value));
 }
 
 TransferFailure CurlTransfer::classify(int CurlCode) const {
+  if (Head.Defect != ResponseDefect::None)
+    return TransferFailure::BadResponse;
   // The library takes a header that the connection's end cut short for whole.
-  if (CurlCode == CURLE_OK && HeaderEnded)
+  if (CurlCode == CURLE_OK && Head.Complete && !isInterim(Head))
     return TransferFailure::None;
   if (TooLarge)
     return TransferFailure::TooLarge;
@@ -238,6 +269,8 @@
 }
 
 std::string CurlTransfer::describe(int CurlCode) const {
+  if (Head.Defect != ResponseDefect::None)
+    return std::string(nameOf(ResponseDefectNames, Head.Defect));
   if (RepeatRefused || CurlCode == CURLE_OK)
     return "the connection ended before a whole response";
   if (ErrorText[0] != '\0')
@@ -251,10 +284,8 @@
     Outcome.Detail = describe(CurlCode);
     return Outcome;
   }
-  long Status = 0;
-  curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
   Outcome.Response = std::move(Response);
-  Outcome.Response.Status = static_cast<int>(Status);
+  Outcome.Response.Status = static_cast<int>(Head.Status);
   Outcome.EchoMismatch = Call.RequireEcho && !Echoed;
   if (Outcome.EchoMismatch)
     Outcome.Detail = "the response does not echo X-Request-Id";
--- a/src/transport/http/CurlTransfer.h
+++ b/src/transport/http/CurlTransfer.h
@@ -1,9 +1,11 @@
 #ifndef QUETZALLEAD_TRANSPORT_HTTP_CURLTRANSFER_H
 #define QUETZALLEAD_TRANSPORT_HTTP_CURLTRANSFER_H
 
+#include "core/http/ResponseHead.h"
 #include "transport/http/HttpClient.h"
 #include <array>
 #include <cstddef>
+#include <functional>
 #include <string>
 
 struct curl_slist;
@@ -22,6 +24,7 @@
   ~CurlTransfer();
 
   HttpClient::CallId id() const { return Id; }
+  const std::string &address() const { return Call.Address; }
   /// The easy handle given to prepare(); null before.
   void *easy() const { return Easy; }
   /// Sets \p EasyHandle up for the call. False, with the reason in the outcome
@@ -33,6 +36,9 @@
   HttpOutcome fail(TransferFailure Failure);
   /// Calls the completion. Call once.
   void complete(HttpOutcome Outcome);
+  /// Called within a call of the library when the head that is being received
+  /// is defective. The transfer must be ended after that call.
+  std::function<void()> OnDefect;
 
 private:
   static std::size_t onRead(char *Out, std::size_t Size, std::size_t Count,
@@ -41,13 +47,18 @@
                              void *Cls);
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *Cls);
+  static int onDebug(void *Easy, int Type, char *Data, std::size_t Size,
+                     void *Cls);
   static int onRequestStart(void *Cls, char *, char *, int, int);
   static int onOpenSocket(void *Cls, int Purpose, void *Address);
 
   void setHeaders();
   void setBody();
-  bool acceptHeaderLine(const char *Data, std::size_t Size);
-  void acceptHeaderField(const std::string &Name, std::string Value);
+  /// Checks a line before the library interprets it.
+  void checkHeadLine(absl::string_view Line);
+  bool acceptHeaderLine(absl::string_view Line);
+  bool acceptTrailerLine(absl::string_view Line);
+  void acceptHeaderField(const FieldLine &Field);
   TransferFailure classify(int CurlCode) const;
   std::string describe(int CurlCode) const;
 
@@ -63,10 +74,9 @@
   bool RepeatRefused = false;
   bool TooLarge = false;
   bool Echoed = false;
-  /// The status line read last is an interim response's.
-  bool Interim = false;
-  /// The empty line that ends the final response's header was read.
-  bool HeaderEnded = false;
+  /// The head that was read last; an interim response's until the final one's
+  /// begins.
+  ResponseHead Head;
   HttpResponse Response;
   std::string Malformed;
   /// As large as libcurl's CURL_ERROR_SIZE.
--- a/src/transport/http/CurlWorker.cpp
+++ b/src/transport/http/CurlWorker.cpp
@@ -42,8 +42,9 @@
 
 } // namespace
 
-CurlWorker::CurlWorker(unsigned MaxIdleConnections)
-    : Multi(curl_multi_init()), EpollDescriptor(epoll_create1(EPOLL_CLOEXEC)),
+CurlWorker::CurlWorker(HttpClient::Options GivenOptions)
+    : Options(std::move(GivenOptions)), Multi(curl_multi_init()),
+      EpollDescriptor(epoll_create1(EPOLL_CLOEXEC)),
       WakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
       TimerDescriptor(
           timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
@@ -52,7 +53,7 @@
   curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &onTimer);
   curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
   curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS,
-                    static_cast<long>(MaxIdleConnections));
+                    static_cast<long>(Options.MaxIdleConnections));
   curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
   addToEpoll(EpollDescriptor, WakeDescriptor);
   addToEpoll(EpollDescriptor, TimerDescriptor);
@@ -149,6 +150,7 @@
 
 void CurlWorker::begin(std::unique_ptr<CurlTransfer> Transfer) {
   void *Easy = acquireEasy();
+  Transfer->OnDefect = [this, Id = Transfer->id()] { Defective.push_back(Id); };
   if (!Transfer->prepare(Easy)) {
     releaseEasy(Easy);
     Transfer->complete(Transfer->fail(TransferFailure::NotSent));
@@ -163,12 +165,30 @@
   auto Found = Active.find(Id);
   if (Found == Active.end())
     return;
-  std::unique_ptr<CurlTransfer> Transfer = std::move(Found->second);
-  Active.erase(Found);
-  HttpOutcome Outcome = Transfer->fail(TransferFailure::Cancelled);
-  // Closes the connection, because its response has not been read.
+  HttpOutcome Outcome = Found->second->fail(TransferFailure::Cancelled);
+  end(Found, std::move(Outcome));
+}
+
+void CurlWorker::endDefective() {
+  std::vector<HttpClient::CallId> Ids;
+  Ids.swap(Defective);
+  for (HttpClient::CallId Id : Ids) {
+    auto Found = Active.find(Id);
+    if (Found == Active.end())
+      continue;
+    HttpOutcome Outcome = Found->second->finish(CURLE_WEIRD_SERVER_REPLY);
+    end(Found, std::move(Outcome));
+  }
+}
+
+void CurlWorker::end(TransferMap::iterator Ended, HttpOutcome Outcome) {
+  std::unique_ptr<CurlTransfer> Transfer = std::move(Ended->second);
+  Active.erase(Ended);
+  // Closes the connection unless its response has been read.
   curl_multi_remove_handle(Multi, Transfer->easy());
   releaseEasy(Transfer->easy());
+  if (Outcome.Failure == TransferFailure::BadResponse && Options.OnBadResponse)
+    Options.OnBadResponse(Transfer->address(), Outcome.Detail);
   Transfer->complete(std::move(Outcome));
 }
 
@@ -183,18 +203,15 @@
     curl_easy_getinfo(Easy, CURLINFO_PRIVATE, &Private);
     auto Id = reinterpret_cast<CurlTransfer *>(Private)->id();
     auto Found = Active.find(Id);
-    std::unique_ptr<CurlTransfer> Transfer = std::move(Found->second);
-    Active.erase(Found);
-    curl_multi_remove_handle(Multi, Easy);
-    HttpOutcome Outcome = Transfer->finish(Code);
-    releaseEasy(Easy);
-    Transfer->complete(std::move(Outcome));
+    HttpOutcome Outcome = Found->second->finish(Code);
+    end(Found, std::move(Outcome));
   }
 }
 
 void CurlWorker::drive(int Descriptor, int Events) {
   int Running = 0;
   curl_multi_socket_action(Multi, Descriptor, Events, &Running);
+  endDefective();
 }
 
 void *CurlWorker::acquireEasy() {
--- a/src/transport/http/CurlWorker.h
+++ b/src/transport/http/CurlWorker.h
@@ -14,7 +14,7 @@
 /// with its own pool of connections.
 class CurlWorker {
 public:
-  explicit CurlWorker(unsigned MaxIdleConnections);
+  explicit CurlWorker(HttpClient::Options GivenOptions);
   CurlWorker(const CurlWorker &) = delete;
   CurlWorker &operator=(const CurlWorker &) = delete;
   /// Call join() before.
@@ -33,6 +33,9 @@
     HttpClient::CallId Cancelled = 0;
   };
 
+  using TransferMap =
+      absl::flat_hash_map<HttpClient::CallId, std::unique_ptr<CurlTransfer>>;
+
   static int onSocket(void *Easy, int Descriptor, int What, void *Cls,
                       void *Known);
   static int onTimer(void *Multi, long TimeoutMs, void *Cls);
@@ -43,19 +46,26 @@
   void takeCommands();
   void begin(std::unique_ptr<CurlTransfer> Transfer);
   void abandon(HttpClient::CallId Id);
+  /// Ends the transfers in Defective.
+  void endDefective();
   void deliverFinished();
+  /// Takes a transfer from the library and completes it.
+  void end(TransferMap::iterator Ended, HttpOutcome Outcome);
   void drive(int Descriptor, int Events);
   void *acquireEasy();
   void releaseEasy(void *Easy);
   void watch(int Descriptor, int What, bool Known);
 
+  const HttpClient::Options Options;
   void *Multi;
   int EpollDescriptor;
   int WakeDescriptor;
   int TimerDescriptor;
   /// True if libcurl asked to be called at once.
   bool TimerDue = false;
-  absl::flat_hash_map<HttpClient::CallId, std::unique_ptr<CurlTransfer>> Active;
+  TransferMap Active;
+  /// Transfers whose response is defective, since the last call of the library.
+  std::vector<HttpClient::CallId> Defective;
   std::vector<void *> IdleEasyHandles;
 
   std::mutex Lock;
--- a/src/transport/http/HttpClient.cpp
+++ b/src/transport/http/HttpClient.cpp
@@ -21,7 +21,7 @@
   explicit CurlHttpClient(const Options &Opts) {
     unsigned Count = std::max(Opts.Threads, 1u);
     for (unsigned I = 0; I < Count; ++I)
-      Workers.push_back(std::make_unique<CurlWorker>(Opts.MaxIdleConnections));
+      Workers.push_back(std::make_unique<CurlWorker>(Opts));
   }
 
   ~CurlHttpClient() override {
@@ -51,7 +51,7 @@
 
 } // namespace
 
-std::unique_ptr<HttpClient> HttpClient::make(Options Opts) {
+std::unique_ptr<HttpClient> HttpClient::make(const Options &Opts) {
   initCurlOnce();
   return std::make_unique<CurlHttpClient>(Opts);
 }
--- a/src/transport/http/HttpClient.h
+++ b/src/transport/http/HttpClient.h
@@ -21,6 +21,7 @@
   TimedOut,        ///< As Lost, by the time limit.
   Cancelled,       ///< cancel() was called; see HttpOutcome::Sent.
   TooLarge,        ///< The response broke the size limit.
+  BadResponse,     ///< What came is no response; see HttpOutcome::Sent.
 };
 
 inline constexpr NamedValue<TransferFailure> TransferFailureNames[] = {
@@ -31,6 +32,7 @@
     {TransferFailure::TimedOut, "timed_out"},
     {TransferFailure::Cancelled, "cancelled"},
     {TransferFailure::TooLarge, "too_large"},
+    {TransferFailure::BadResponse, "bad_response"},
 };
 
 /// A request to be sent.
@@ -65,7 +67,7 @@
   bool EchoMismatch = false;
   /// True if a new connection had to be set up.
   bool NewConnection = false;
-  /// The library's words for a failure.
+  /// What was wrong: the library's words, or the name of a ResponseDefect.
   std::string Detail;
 };
 
@@ -83,9 +85,13 @@
     unsigned Threads = 2;
     /// Connections kept per thread when idle.
     unsigned MaxIdleConnections = 1024;
+    /// Called on the client's threads with the address and the defect of each
+    /// response that ends a call with BadResponse; may be empty.
+    std::function<void(const std::string &Address, absl::string_view Defect)>
+        OnBadResponse;
   };
 
-  static std::unique_ptr<HttpClient> make(Options Opts);
+  static std::unique_ptr<HttpClient> make(const Options &Opts);
   virtual ~HttpClient() = default;
 
   /// Starts \p Call. \p Done is always called: with NotSent if the call is
--- a/tests/daemon/BackendCodecTest.cpp
+++ b/tests/daemon/BackendCodecTest.cpp
@@ -71,6 +71,8 @@
   EXPECT_TRUE(NotProven(Lost));
   Lost.Failure = TransferFailure::TooLarge;
   EXPECT_TRUE(NotProven(Lost));
+  Lost.Failure = TransferFailure::BadResponse;
+  EXPECT_TRUE(NotProven(Lost));
 }
 
 TEST(BackendCodecTest, ADeeplyNestedReplyIsRefused) {
--- a/tests/transport/HttpClientTest.cpp
+++ b/tests/transport/HttpClientTest.cpp
@@ -1,11 +1,13 @@
 #include "transport/http/HttpClient.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "support/BrokenAnswers.h"
 #include "transport/Inbox.h"
 #include "transport/RawListener.h"
 #include "transport/http/HttpServer.h"
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace quetzallead;
@@ -86,7 +88,7 @@
             "HTTP/1.1 409 Conflict\r\nX-Load: 3\r\n"
             "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
   HttpOutcome Outcome = next();
-  EXPECT_EQ(Outcome.Failure, TransferFailure::None);
+  EXPECT_EQ(Outcome.Failure, TransferFailure::None) << Outcome.Detail;
   EXPECT_TRUE(Outcome.Sent);
   EXPECT_TRUE(Outcome.NewConnection);
   EXPECT_EQ(Outcome.Response.Status, 409);
@@ -300,3 +302,110 @@
     EXPECT_EQ(next().Failure, TransferFailure::None);
   EXPECT_EQ(Right, Threads * CallsPerThread);
 }
+
+// The caller of a server whose answer had status 600, a blank in the name of a
+// field or another protocol's version got it as an answer.
+TEST_F(HttpClientTest, BrokenResponsesAreNone) {
+  for (const BrokenAnswer &Answer : brokenAnswers()) {
+    SCOPED_TRACE(Answer.Name);
+    start(makeCall(Listener.address(), "body"));
+    RawConnection Peer = Listener.accept();
+    Peer.readThrough("body");
+    Peer.send(Answer.Bytes);
+    Peer.close();
+    HttpOutcome Outcome = next();
+    EXPECT_NE(Outcome.Failure, TransferFailure::None);
+    // The server got the request and may have run it.
+    EXPECT_NE(Outcome.Failure, TransferFailure::NotSent);
+    EXPECT_TRUE(Outcome.Sent);
+    EXPECT_EQ(Outcome.Response.Body, "");
+    warmUp().close();
+  }
+}
+
+TEST_F(HttpClientTest, TellsWhatWasWrongWithAResponse) {
+  std::string Refused;
+  HttpClient::Options Options;
+  Options.OnBadResponse = [&](const std::string &Address,
+                              absl::string_view Defect) {
+    Refused = absl::StrCat(Address, " ", Defect);
+  };
+  Client = HttpClient::make(Options);
+  start(makeCall(Listener.address(), "body"));
+  RawConnection Peer = Listener.accept();
+  Peer.readThrough("body");
+  Peer.send("HTTP/1.1 200 OK\r\nX Name: secret\r\n\r\n");
+  HttpOutcome Outcome = next();
+  EXPECT_EQ(Outcome.Failure, TransferFailure::BadResponse);
+  EXPECT_EQ(Outcome.Detail, "field_name");
+  EXPECT_EQ(Refused, absl::StrCat(Listener.address(), " field_name"));
+  EXPECT_TRUE(Peer.waitForEnd());
+}
+
+TEST_F(HttpClientTest, TrailerFieldsAreNoFieldsOfTheHead) {
+  start(makeEchoCall(Listener.address(), "id1"));
+  RawConnection Peer = Listener.accept();
+  Peer.readThrough("body");
+  Peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+            "0\r\nX-Trailer: t\r\nX-Request-Id: id1\r\n\r\n");
+  HttpOutcome Outcome = next();
+  EXPECT_EQ(Outcome.Response.Body, "ab");
+  EXPECT_EQ(Outcome.Response.Headers.find("X-Trailer"), nullptr);
+  EXPECT_TRUE(Outcome.EchoMismatch);
+}
+
+namespace {
+
+/// Most memory that the process has held so far, bytes.
+std::size_t peakMemory() {
+  rusage Usage = {};
+  getrusage(RUSAGE_SELF, &Usage);
+  return static_cast<std::size_t>(Usage.ru_maxrss) * 1024;
+}
+
+} // namespace
+
+// Elsewhere the bytes of a response that did not end were kept until the
+// process ran out of memory.
+TEST_F(HttpClientTest, EndlessResponsesAreNotKept) {
+  const std::string Long(65536, 'x');
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> Endless[] = {
+      {"", Long},
+      {"", "\r\n\r\n"},
+      {"", std::string(4096, '\0')},
+      {"HTTP/1.1 2", "0000000000"},
+      {"HTTP/1.1 200 ", Long},
+      {"HTTP/1.1 200 OK\r\n", "X-A: a\r\n"},
+      {"HTTP/1.1 200 OK\r\n", Long},
+      {"HTTP/1.1 200 OK\r\nX-A: ", Long},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\n\r\n", Long},
+      {Chunked, "1000\r\n" + std::string(4096, 'x') + "\r\n"},
+      {Chunked + "5;x=", Long},
+      {Chunked + "0\r\nX-A: ", Long},
+      {Chunked + "0\r\n", "X-A: a\r\n"},
+  };
+  static constexpr std::size_t MaxGrowth = std::size_t{64} << 20;
+  for (const auto &[Head, Piece] : Endless) {
+    SCOPED_TRACE(Head + Piece.substr(0, 40));
+    const std::size_t Before = peakMemory();
+    HttpCall Call = makeCall(Listener.address(), "body");
+    Call.Timeout = absl::Seconds(1);
+    start(Call);
+    RawConnection Peer = Listener.accept();
+    Peer.readThrough("body");
+    std::string Block;
+    while (Block.size() < 65536)
+      Block += Piece;
+    Peer.send(Head);
+    while (Peer.send(Block)) {
+    }
+    Peer.close();
+    HttpOutcome Outcome = next();
+    EXPECT_NE(Outcome.Failure, TransferFailure::None);
+    EXPECT_TRUE(Outcome.Sent);
+    EXPECT_LT(peakMemory() - Before, MaxGrowth);
+  }
+}
