relay: a success needs the stamp of the server

What callers saw: bytes that belonged to no request, such as what a faulty server sends after a complete answer and late, reached the next caller on the connection as a 200, if they had the form of a response.

Cause: the stamp, without which a success is no answer in the protocol, was asked for in parts of surveys alone.

Change: decodeExchangeResult(), which reads the answers of all backend servers, takes a 2xx without a stamp for a bad_reply with the defect unstamped. Failures need none.

--- a/src/core/http/ResponseDefect.h
+++ b/src/core/http/ResponseDefect.h
@@ -20,6 +20,7 @@
   TooLarge,         ///< A head, a body or the framing exceeds its limit.
   InterimResponses, ///< More of them than a head may have bytes.
   OtherRequest,     ///< The response names another request.
+  Unstamped,        ///< A success without the server's stamp.
 };
 
 inline constexpr NamedValue<ResponseDefect> ResponseDefectNames[] = {
@@ -36,6 +37,7 @@
     {ResponseDefect::TooLarge, "too_large"},
     {ResponseDefect::InterimResponses, "interim_responses"},
     {ResponseDefect::OtherRequest, "other_request"},
+    {ResponseDefect::Unstamped, "unstamped"},
 };
 
 } // namespace quetzallead
--- a/src/core/relay/BackendResponse.h
+++ b/src/core/relay/BackendResponse.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_CORE_RELAY_BACKENDRESPONSE_H
 #define QUETZALLEAD_CORE_RELAY_BACKENDRESPONSE_H
 
+#include "core/http/ResponseDefect.h"
 #include "quetzallead/AttemptResult.h"
 #include "quetzallead/LoadReport.h"
 #include "quetzallead/Time.h"
@@ -28,6 +29,8 @@
   /// Answered for any complete response of a server that may have executed the
   /// request, whatever its status.
   AttemptResult Result = AttemptResult::Unused;
+  /// Why a BadReply is one.
+  ResponseDefect Defect = ResponseDefect::None;
   std::optional<LoadReport> Load;
   /// A home has passed the request back because its route does not let a second
   /// home have it.
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -185,10 +185,17 @@
   return Longest;
 }
 
+/// True for a success that no backend server can have produced.
+static bool isUnstampedSuccess(const HttpResponse &Response,
+                               const HeaderNames &Names) {
+  return Response.result_int() / 100 == 2 && Response[Names.Stamp].empty();
+}
+
 AttemptEnd decodeExchangeResult(const HttpExchangeResult &End,
                                 const HeaderNames &Names) {
   AttemptEnd Out;
   Out.Result = End.Result;
+  Out.Defect = End.Defect;
   if (End.Result != AttemptResult::Answered)
     return Out;
   HttpResponse &Response = *End.Response;
@@ -201,6 +208,11 @@
     Out.Result = AttemptResult::Shed;
     return Out;
   }
+  if (isUnstampedSuccess(Response, Names)) {
+    Out.Result = AttemptResult::BadReply;
+    Out.Defect = ResponseDefect::Unstamped;
+    return Out;
+  }
   Out.Response = decodeResponse(Response, Names);
   return Out;
 }
--- a/src/relay/RelaySession.cpp
+++ b/src/relay/RelaySession.cpp
@@ -185,7 +185,7 @@
   Context.Metrics.attemptEnded(Request.serviceOf(Attempt),
                                Request.causeOf(Attempt), End.Result,
                                Now - Request.sentAt(Attempt));
-  logAttemptFailure(Attempt, End, ExchangeEnd.Defect, Now);
+  logAttemptFailure(Attempt, End, Now);
   if (End.Result == AttemptResult::Answered && Context.Codec.OnAnswered)
     Context.Codec.OnAnswered(Call);
   else if (End.Result == AttemptResult::Lost && Context.Codec.OnLost)
@@ -218,7 +218,6 @@
 }
 
 void RelaySession::logAttemptFailure(std::size_t Attempt, const AttemptEnd &End,
-                                     ResponseDefect Defect,
                                      TimePoint Now) const {
   const unsigned Status = End.Response != nullptr ? End.Response->Status : 0;
   const bool Expected = End.Result == AttemptResult::Cancelled ||
@@ -232,7 +231,7 @@
             {"cause", nameOf(AttemptCauseNames, Request.causeOf(Attempt))},
             {"result", nameOf(AttemptResultNames, End.Result)},
             {"status", Status},
-            {"defect", nameOf(ResponseDefectNames, Defect)},
+            {"defect", nameOf(ResponseDefectNames, End.Defect)},
             {"fingerprint", requestFingerprint(Call)},
             {"ms", absl::ToInt64Milliseconds(Now - Request.sentAt(Attempt))}});
 }
--- a/src/relay/RelaySession.h
+++ b/src/relay/RelaySession.h
@@ -57,7 +57,7 @@
   /// Logs the end of an attempt unless it was cancelled or answered with a
   /// status below 500.
   void logAttemptFailure(std::size_t Attempt, const AttemptEnd &End,
-                         ResponseDefect Defect, TimePoint Now) const;
+                         TimePoint Now) const;
   void updateHold();
   /// Frees what only further attempts or the response would need.
   void dropBodies();
--- a/tests/relay/BrokenAnswerTest.cpp
+++ b/tests/relay/BrokenAnswerTest.cpp
@@ -105,6 +105,21 @@
   }
 }
 
+// Bytes that belonged to no request passed for a success, if they were a
+// response in HTTP/1.1.
+TEST_F(BrokenAnswerTest, SuccessNeedsTheStampOfTheServer) {
+  const std::string Rest = "Content-Length: 2\r\n\r\nok";
+  for (const char *Head :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 201 OK\r\n", "HTTP/1.1 299 OK\r\n",
+        "HTTP/1.1 200 OK\r\nServer-Stamp: \r\n"}) {
+    setAnswer(Head + Rest);
+    EXPECT_EQ(askBroken("/once/a").substr(0, 12), "HTTP/1.1 502") << Head;
+    EXPECT_EQ(askBroken("/again/a").substr(0, 12), "HTTP/1.1 502") << Head;
+  }
+  setAnswer("HTTP/1.1 404 None\r\n" + Rest);
+  EXPECT_EQ(askBroken("/once/a").substr(0, 12), "HTTP/1.1 404");
+}
+
 // A rejection with a status that is none was taken for the server's word that
 // it had not run the request, and callers were told so.
 TEST_F(BrokenAnswerTest, BrokenRejectionIsNoPromise) {
