tests: the drill's sheet is in force before the store goes back

The sheet before serves /new/a too, so that the wait for it ended as soon as a server was ready. The test now waits for what sheet 9 alone does: it has no route for /a. All checks stay.

--- a/tests/relay/StoreDrillTest.cpp
+++ b/tests/relay/StoreDrillTest.cpp
@@ -95,6 +95,8 @@
   const auto Copy = Store.copy();
   putSecond("ready");
   Store.put("op/config", sheet(9, "/new/"));
+  // The older sheet serves the path too, but not this one alone.
+  await([&] { return ask("/a", CallerPort) == 404; });
   await([&] { return ask("/new/a", CallerPort) == 200; });
   Store.restore(*Copy);
   // The server writes its entry again within two seconds.
