Review: servers that leave take late requests with them (case 7)

The servers of the case now exit 0.4 s after drain_ms, and six of twelve leave, so that each run shows requests that are lost, not only late.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,10 +15,10 @@
 SERVICE = "kafi81c"
 MACHINES = {"lhr-a": 4, "isb-b": 3, "fsd-c": 2}
 # How many servers leave, one after the other.
-LEAVERS = 4
+LEAVERS = 6
 DRAIN_S = BOUNDS["drain_ms"] / 1000
 # "and a little longer (at times many seconds)"
-LONGER_S = 1.0
+LONGER_S = 0.4
 GAP_S = 0.012
 
 
@@ -52,10 +52,10 @@
     store = Store()
     await store.start("127.41.0.2")
     servers = []
-    for number in range(9):
+    for number in range(12):
         zone = list(ZONES)[number % 3]
         server = LeavingServer(store, record, f"i-{number:08x}", SERVICE, zone,
-                               slots=4, queue=16, work_ms=150)
+                               slots=4, queue=16, work_ms=200)
         await server.start(f"127.41.{number % 3 + 1}.200")
         servers.append(server)
     store.put_json("op/config", {
@@ -105,7 +105,7 @@
         await asyncio.sleep(5)
         for server in servers[:LEAVERS]:
             await server.leave()
-            await asyncio.sleep(3)
+            await asyncio.sleep(2)
         for task in background:
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
