relay: fields that the library cannot hold ended the process

What callers saw: a server's trailer field of 70,000 bytes, or a caller's, a probe's, a scraper's, another instance's or the store's, ended the process. With an operator's max_header_bytes above 65,533 a field of a head did the same.

Cause: the parser of the library keeps the sizes of a name and of a value in 16 bits and throws std::length_error for a longer one, where it reports any other fault by an error code. Nothing between the read and main() catches exceptions. The limits on heads do not apply to trailers, and the check for framing without end comes after the bytes have been parsed.

MessageParser, on the library's basic_parser, parses all messages of peers. A field is checked before it is stored, so that what the library cannot hold is header_limit like a head that is too long, and a trailer and a chunk's extension have the limit of a head. A server's answer is refused as too_large then, a call of the store fails, a caller gets 431.

--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -46,8 +46,8 @@
 
 void CallerSession::updateHold() {
   std::size_t Bytes = sizeof(*this) + Unparsed.capacity() + Outgoing.capacity();
-  if (RequestParser)
-    Bytes += RequestParser->get().body().size();
+  if (Parser)
+    Bytes += Parser->message().body().size();
   switch (Stage) {
   case SessionStage::Reading:
     Hold.setUse(MemoryUse::CallerBody);
@@ -155,42 +155,30 @@
   const ClientLimits Limits = Handlers.Limits();
   if (Unparsed.empty())
     return;
-  if (!RequestParser) {
-    RequestParser.emplace();
-    RequestParser->eager(true);
-    RequestParser->header_limit(
-        static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
-    RequestParser->body_limit(Limits.MaxBodyBytes);
+  if (!Parser) {
+    Parser.emplace(MessageLimits{Limits.MaxHeaderBytes, Limits.MaxBodyBytes});
     HeaderSeen = false;
     startTimer(Limits.HeaderTimeout, 408);
   }
   error_code EC;
-  std::size_t Offset = 0;
-  while (Offset < Unparsed.size() && !RequestParser->is_done()) {
-    const std::size_t Consumed = RequestParser->put(
-        asio::buffer(Unparsed.data() + Offset, Unparsed.size() - Offset), EC);
-    Offset += Consumed;
-    if (EC == http::error::need_more || (!EC && Consumed == 0))
-      break;
-    if (EC) {
-      if (EC == http::error::header_limit)
-        reject(431);
-      else if (EC == http::error::body_limit)
-        reject(413);
-      else
-        reject(400);
-      return;
-    }
+  const std::size_t Parsed = Parser->parse(Unparsed, EC);
+  if (EC) {
+    if (EC == http::error::header_limit)
+      reject(431);
+    else if (EC == http::error::body_limit)
+      reject(413);
+    else
+      reject(400);
+    return;
   }
-  Unparsed.erase(0, Offset);
-  if (!RequestParser->is_header_done() &&
-      Unparsed.size() > Limits.MaxHeaderBytes) {
+  Unparsed.erase(0, Parsed);
+  if (!Parser->is_header_done() && Unparsed.size() > Limits.MaxHeaderBytes) {
     reject(431);
     return;
   }
-  if (RequestParser->is_header_done() && !RequestParser->is_done()) {
+  if (Parser->is_header_done() && !Parser->is_done()) {
     startTimer(Limits.IdleTimeout, 408);
-    const auto Expect = RequestParser->get()[http::field::expect];
+    const auto Expect = Parser->message()[http::field::expect];
     if (!HeaderSeen &&
         absl::EqualsIgnoreCase(absl::string_view(Expect.data(), Expect.size()),
                                "100-continue")) {
@@ -201,12 +189,12 @@
     }
     HeaderSeen = true;
   }
-  if (!RequestParser->is_done())
+  if (!Parser->is_done())
     return;
   Timer.reset();
-  KeepAlive = RequestParser->keep_alive();
-  HttpRequest Request = RequestParser->release();
-  RequestParser.reset();
+  KeepAlive = Parser->keep_alive();
+  HttpRequest Request = Parser->release();
+  Parser.reset();
   HeadRequest = Request.method() == http::verb::head;
   Stage = SessionStage::Serving;
   updateHold();
@@ -215,21 +203,20 @@
 }
 
 void CallerSession::parseMessage() {
-  Parser MessageParser;
-  MessageParser.eager(true);
-  MessageParser.header_limit(
-      static_cast<std::uint32_t>(Handlers.Limits().MaxHeaderBytes));
+  const ClientLimits Limits = Handlers.Limits();
+  RequestParser Interjected(
+      MessageLimits{Limits.MaxHeaderBytes, Limits.MaxBodyBytes});
   error_code Fault;
-  const std::size_t Consumed = MessageParser.put(asio::buffer(Unparsed), Fault);
+  const std::size_t Consumed = Interjected.parse(Unparsed, Fault);
   // Anything else is a pipelined request, which is parsed in its turn.
-  if (!Fault && MessageParser.is_done() &&
-      Handlers.OnMessage(*this, MessageParser.release()))
+  if (!Fault && Interjected.is_done() &&
+      Handlers.OnMessage(*this, Interjected.release()))
     Unparsed.erase(0, Consumed);
 }
 
 void CallerSession::reject(unsigned Status, Duration RetryAfter) {
   Stage = SessionStage::Serving;
-  RequestParser.reset();
+  Parser.reset();
   std::string().swap(Unparsed);
   respond(encodeStatusResponse(Status, RetryAfter, false), false);
 }
@@ -354,7 +341,7 @@
   auto Guard = shared_from_this();
   Stage = SessionStage::Closed;
   Timer.reset();
-  RequestParser.reset();
+  Parser.reset();
   std::string().swap(Unparsed);
   std::string().swap(Outgoing);
   updateHold();
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -5,10 +5,10 @@
 #include "core/relay/ClientLimits.h"
 #include "relay/LoopTimers.h"
 #include "relay/MemoryHold.h"
+#include "relay/MessageParser.h"
 #include "relay/RelayMessages.h"
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -77,13 +77,11 @@
   /// Whether the peer has closed the connection, as far as can be read.
   bool closedByPeer();
   bool idle() const {
-    return Stage == SessionStage::Reading && !RequestParser && Unparsed.empty();
+    return Stage == SessionStage::Reading && !Parser && Unparsed.empty();
   }
 
 private:
   enum class SessionStage { Reading, Serving, Writing, Lingering, Closed };
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void read();
   /// Stops reading until resumeReading(); the connection stays alive.
@@ -110,7 +108,7 @@
   LoopTimers &Timers;
   CallerHandlers &Handlers;
   SessionStage Stage = SessionStage::Reading;
-  std::optional<Parser> RequestParser;
+  std::optional<RequestParser> Parser;
   std::string Unparsed;
   std::string Outgoing;
   /// Bytes of Outgoing that have been written.
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -106,11 +106,8 @@
   Head = ResponseHead();
   HeadBytes = 0;
   HeadFields.reset();
-  ResponseParser.emplace();
-  ResponseParser->eager(true);
-  ResponseParser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
-  ResponseParser->body_limit(Limits.BodyBytes);
-  ResponseParser->skip(Current.HeadRequest);
+  Parser.emplace(MessageLimits{Limits.HeaderBytes, Limits.BodyBytes});
+  Parser->skip(Current.HeadRequest);
 }
 
 void HttpConnection::write() {
@@ -173,17 +170,17 @@
     fail(AttemptResult::Lost);
     return;
   }
-  if (EC == asio::error::eof && ResponseParser->is_header_done() &&
-      !ResponseParser->is_done()) {
+  if (EC == asio::error::eof && Parser->is_header_done() &&
+      !Parser->is_done()) {
     // A response without a length is delimited by the close.
     error_code Fault;
-    ResponseParser->put_eof(Fault);
-    if (!Fault && ResponseParser->is_done()) {
+    Parser->put_eof(Fault);
+    if (!Fault && Parser->is_done()) {
       complete(false);
       return;
     }
   }
-  const bool AnyBytesReceived = ResponseParser->got_some() || !Unparsed.empty();
+  const bool AnyBytesReceived = Parser->got_some() || !Unparsed.empty();
   fail(AnyBytesSent || AnyBytesReceived ? AttemptResult::Lost
                                         : AttemptResult::NotSent);
 }
@@ -213,8 +210,8 @@
 void HttpConnection::updateHold() {
   std::size_t Bytes =
       sizeof(*this) + Current.Bytes.capacity() + Unparsed.capacity();
-  if (ResponseParser && Stage != ConnectionStage::Closed)
-    Bytes += ResponseParser->get().body().size();
+  if (Parser && Stage != ConnectionStage::Closed)
+    Bytes += Parser->message().body().size();
   Hold.resize(Bytes + (ReadPaused ? ReceiveBufferBytes : 0));
 }
 
@@ -233,7 +230,7 @@
 }
 
 void HttpConnection::discardBody() {
-  std::string &Body = ResponseParser->get().body();
+  std::string &Body = Parser->message().body();
   DiscardedBytes += Body.size();
   std::string().swap(Body);
   if (DiscardedBytes <= MaxDiscardedBytes)
@@ -258,15 +255,16 @@
 
 void HttpConnection::onHead() {
   if (Head.Chunked)
-    HeadFields = ResponseParser->get().base();
+    HeadFields = Parser->message().base();
   if (!isInterim(Head) && Current.OnHead)
-    Current.OnHead(ResponseParser->get().base());
+    Current.OnHead(Parser->message().base());
 }
 
 /// What the parser refuses in a response whose head is sound.
 static ResponseDefect defectOf(const error_code &EC) {
-  return EC == http::error::body_limit ? ResponseDefect::TooLarge
-                                       : ResponseDefect::Framing;
+  const bool TooLarge =
+      EC == http::error::body_limit || EC == http::error::header_limit;
+  return TooLarge ? ResponseDefect::TooLarge : ResponseDefect::Framing;
 }
 
 ResponseDefect HttpConnection::parseHead(absl::string_view Bytes,
@@ -279,9 +277,9 @@
   if (!Head.Complete)
     return ResponseDefect::None;
   error_code EC;
-  Consumed = ResponseParser->put(asio::buffer(Bytes.data(), HeadBytes), EC);
+  Consumed = Parser->parse({Bytes.data(), HeadBytes}, EC);
   // Nothing that passes for a head here may mean anything else to the parser.
-  if (EC || !ResponseParser->is_header_done() || Consumed != HeadBytes)
+  if (EC || !Parser->is_header_done() || Consumed != HeadBytes)
     return defectOf(EC);
   onHead();
   return ResponseDefect::None;
@@ -296,21 +294,15 @@
     if (Defect != ResponseDefect::None || !Head.Complete)
       return Defect;
   }
-  while (Offset < Bytes.size() && !ResponseParser->is_done()) {
-    error_code EC;
-    const std::size_t Consumed = ResponseParser->put(
-        asio::buffer(Bytes.data() + Offset, Bytes.size() - Offset), EC);
-    Offset += Consumed;
-    if (Discarding)
-      discardBody();
-    if (EC == http::error::need_more || (!EC && Consumed == 0))
-      break;
-    if (EC)
-      return defectOf(EC);
-  }
+  error_code EC;
+  Offset += Parser->parse({Bytes.data() + Offset, Bytes.size() - Offset}, EC);
+  if (Discarding)
+    discardBody();
+  if (EC)
+    return defectOf(EC);
   // A chunk extension or a trailer that does not end.
   const bool Endless =
-      !ResponseParser->is_done() && Bytes.size() - Offset > Limits.HeaderBytes;
+      !Parser->is_done() && Bytes.size() - Offset > Limits.HeaderBytes;
   return Endless ? ResponseDefect::TooLarge : ResponseDefect::None;
 }
 
@@ -320,7 +312,7 @@
     refuse(ResponseDefect::InterimResponses);
     return false;
   }
-  const HttpResponseHead Interim = ResponseParser->get().base();
+  const HttpResponseHead Interim = Parser->message().base();
   resetParser();
   if (Current.OnInformational)
     Current.OnInformational(Interim);
@@ -341,7 +333,7 @@
       refuse(Defect);
       return;
     }
-    if (!ResponseParser->is_done() || !isInterim(Head))
+    if (!Parser->is_done() || !isInterim(Head))
       break;
     // The final response follows.
     if (!passInterim())
@@ -350,8 +342,8 @@
   Unparsed.assign(Bytes.data() + Offset, Bytes.size() - Offset);
   // The connection cannot be reused if bytes follow the response or the
   // request is not fully written.
-  if (ResponseParser->is_done())
-    complete(ResponseParser->keep_alive() && Unparsed.empty() && !Writing);
+  if (Parser->is_done())
+    complete(Parser->keep_alive() && Unparsed.empty() && !Writing);
 }
 
 /// Returns N of "timeout=N" in the Keep-Alive header, in seconds.
@@ -385,19 +377,18 @@
 
 void HttpConnection::complete(bool Reusable) {
   if (HeadFields)
-    ResponseParser->get().base() = std::move(*HeadFields);
-  if (hasMismatchedEcho(ResponseParser->get(), Current)) {
+    Parser->message().base() = std::move(*HeadFields);
+  if (hasMismatchedEcho(Parser->message(), Current)) {
     refuse(ResponseDefect::OtherRequest);
     return;
   }
   Timer.reset();
   HttpExchangeResult ExchangeEnd;
   ExchangeEnd.Result = AttemptResult::Answered;
-  ExchangeEnd.Response =
-      std::make_shared<HttpResponse>(ResponseParser->release());
+  ExchangeEnd.Response = std::make_shared<HttpResponse>(Parser->release());
   HttpExchangeCallback Callback = std::move(Done);
   Done = nullptr;
-  ResponseParser.reset();
+  Parser.reset();
   updateHold();
   IdleSince = LoopTimers::now();
   const auto KeepAliveTimeout = parseKeepAliveTimeout(*ExchangeEnd.Response);
--- a/src/relay/HttpConnection.h
+++ b/src/relay/HttpConnection.h
@@ -6,9 +6,9 @@
 #include "relay/HttpExchange.h"
 #include "relay/LoopTimers.h"
 #include "relay/MemoryHold.h"
+#include "relay/MessageParser.h"
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -79,8 +79,6 @@
 
 private:
   enum class ConnectionStage { New, Connecting, Open, Closed };
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void onConnected(const boost::system::error_code &EC);
   void write();
@@ -138,7 +136,7 @@
   /// Bytes of the body that have been discarded.
   std::size_t DiscardedBytes = 0;
   bool ReadPaused = false;
-  std::optional<Parser> ResponseParser;
+  std::optional<ResponseParser> Parser;
   std::string Unparsed;
   std::shared_ptr<LoopTimers::Subscription> Timer;
   TimePoint IdleSince = absl::InfinitePast();
--- a/tests/relay/BrokenAnswerTest.cpp
+++ b/tests/relay/BrokenAnswerTest.cpp
@@ -144,6 +144,24 @@
   EXPECT_THAT(Text, HasSubstr(BrokenStamp));
 }
 
+// The status made no difference, and neither did what the caller had asked for.
+TEST_F(BrokenAnswerTest, LongTrailerEndedTheProcess) {
+  const std::string Trailers[] = {"X-Name: " + std::string(65534, 'x') + "\r\n",
+                                  std::string(65534, 'x') + ": 1\r\n"};
+  for (const char *Status :
+       {"200 OK", "404 Not Found", "421 Misdirected", "503 Busy"})
+    for (const std::string &Trailer : Trailers) {
+      setAnswer(framedBytes("Transfer-Encoding: chunked\r\nNot-Executed: 1\r\n",
+                            "2\r\nok\r\n0\r\n" + Trailer + "\r\n",
+                            absl::StrCat("HTTP/1.1 ", Status)));
+      for (const char *Path : {"/once/a", "/again/a"})
+        // The server may have run it: this is no answer, so no rejection.
+        EXPECT_EQ(askBroken(Path).substr(0, 12), "HTTP/1.1 502")
+            << Status << " " << Path;
+    }
+  EXPECT_EQ(ask(), 200u);
+}
+
 namespace {
 
 /// The servers of the broken one's service start cold, and are asked whether
@@ -164,6 +182,11 @@
   const int Before = Broken.Requests;
   // Probes go on, as long as none is answered.
   await([&] { return Broken.Requests > Before + 1; });
+  setAnswer(
+      framedBytes("Transfer-Encoding: chunked\r\nWarmup-Ms: 0\r\n",
+                  "0\r\nX-Name: " + std::string(70000, 'x') + "\r\n\r\n"));
+  const int BeforeTrailer = Broken.Requests;
+  await([&] { return Broken.Requests > BeforeTrailer + 1; });
   setAnswer(answerBytes("HTTP/1.1 200 OK", "Warmup-Ms: 0\r\n"));
   await([&] { return ask("/again/a", CallerPort) == 200; });
 }
--- a/tests/relay/HttpConnectionTest.cpp
+++ b/tests/relay/HttpConnectionTest.cpp
@@ -109,6 +109,11 @@
       {framedBytes("X-Name: " + std::string(70000, 'x') + "\r\n", BrokenBody),
        ResponseDefect::TooLarge},
       {framedBytes(Chunked, "x\r\n"), ResponseDefect::Framing},
+      {framedBytes(Chunked,
+                   "0\r\nX-Name: " + std::string(65534, 'x') + "\r\n\r\n"),
+       ResponseDefect::TooLarge},
+      {framedBytes(Chunked, "1;" + std::string(70000, 'x') + "\r\n"),
+       ResponseDefect::TooLarge},
   };
   for (const auto &[Bytes, Defect] : Cases) {
     answer(Bytes, Bytes.size());
--- /dev/null
+++ b/tests/relay/OversizedRequestTest.cpp
@@ -0,0 +1,123 @@
+#include "relay/RelayWithStore.h"
+#include <gmock/gmock.h>
+
+using namespace quetzallead;
+using boost::asio::ip::tcp;
+using testing::StartsWith;
+
+namespace {
+
+constexpr char Head[] = "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: t\r\n"
+                        "Deadline-Ms: 2500\r\n";
+
+std::string chunked(const std::string &Trailer, const std::string &Fields = "",
+                    const std::string &Extension = "") {
+  return absl::StrCat(Head, Fields, "Transfer-Encoding: chunked\r\n\r\n2",
+                      Extension, "\r\nok\r\n0\r\n", Trailer, "\r\n");
+}
+
+std::string longField() {
+  return "X-Name: " + std::string(65534, 'x') + "\r\n";
+}
+
+/// Where the relay of a test listens: for callers, probes of its readiness,
+/// scrapers and other instances. Set while the relay starts.
+struct ListenAddresses {
+  std::vector<std::string> Addresses;
+};
+
+/// A relay whose callers, probes, scrapers and other instances send what no
+/// limit allows.
+class OversizedRequestTest : private ListenAddresses, public RelayWithStore {
+protected:
+  using ListenAddresses::Addresses;
+
+  OversizedRequestTest()
+      : RelayWithStore(
+            absl::StrCat("127.0.0.1:", freePort()), [this](RelaySettings &S) {
+              S.MetricsListen = absl::StrCat("127.0.0.1:", freePort());
+              Addresses = {S.CallerListen, S.ReadinessListen, S.MetricsListen,
+                           S.LinkListen};
+            }) {
+    await([&] { return ask() == 200; });
+  }
+
+  /// Sets a limit of the sheet in force.
+  void setLimit(const std::string &Name, std::uint64_t Value) {
+    std::string Text = sheet(++SheetVersion, "/");
+    const std::size_t Begin = Text.find(Name) + Name.size() + 3;
+    Text.replace(Begin, Text.find_first_of(",}", Begin) - Begin,
+                 absl::StrCat(Value));
+    Store.put("op/config", Text);
+    absl::SleepFor(absl::Seconds(1));
+  }
+
+  /// Sends \p Bytes to \p Address and returns what comes until the connection
+  /// ends or \p Enough has come.
+  std::string send(const std::string &Address, const std::string &Bytes,
+                   const std::string &Enough = "\r\n\r\n") {
+    tcp::socket Peer(CallerLoop);
+    const std::size_t Colon = Address.find(':');
+    Peer.connect(tcp::endpoint(
+        boost::asio::ip::make_address(Address.substr(0, Colon)),
+        static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)))));
+    boost::system::error_code Fault;
+    boost::asio::write(Peer, boost::asio::buffer(Bytes), Fault);
+    std::string Text;
+    boost::asio::read_until(Peer, boost::asio::dynamic_buffer(Text), Enough,
+                            Fault);
+    return Text;
+  }
+  std::string send(const std::string &Bytes) {
+    return send(Addresses[0], Bytes);
+  }
+
+  int SheetVersion = 3;
+  boost::asio::io_context CallerLoop;
+};
+
+} // namespace
+
+// Each of them ended the process, and all requests that it served.
+TEST_F(OversizedRequestTest, LongTrailerEndedTheProcess) {
+  setLimit("max_body_bytes", 1 << 20);
+  const std::string LongName = std::string(65534, 'x') + ": 1\r\n";
+  for (const std::string &Address : Addresses) {
+    SCOPED_TRACE(Address);
+    EXPECT_THAT(send(Address, chunked(longField())),
+                StartsWith("HTTP/1.1 431"));
+    EXPECT_THAT(send(Address, chunked(LongName)), StartsWith("HTTP/1.1 431"));
+    const std::string Text =
+        send(Address, chunked(longField(), "Expect: 100-continue\r\n"), "431");
+    EXPECT_NE(Text.find("HTTP/1.1 431"), std::string::npos) << Text;
+    EXPECT_EQ(ask(), 200u);
+  }
+}
+
+// It is parsed by a function of its own while another request is served.
+TEST_F(OversizedRequestTest, LongTrailerBehindARequestEndedTheProcess) {
+  const std::string Slow = "GET /slow HTTP/1.1\r\nHost: h\r\nRequest-Id: s\r\n"
+                           "Deadline-Ms: 2500\r\n\r\n";
+  for (const std::string &Address : Addresses)
+    send(Address, Slow + chunked(longField()), "431");
+  // The caller gets the answer to its first request all the same.
+  const std::string Text =
+      send(Addresses[0], Slow + chunked(longField()), "431");
+  EXPECT_THAT(Text, StartsWith("HTTP/1.1 200"));
+  EXPECT_NE(Text.find("HTTP/1.1 431"), std::string::npos) << Text;
+  EXPECT_EQ(ask(), 200u);
+}
+
+// A limit of the operator above what the library holds made a field of the head
+// end the process.
+TEST_F(OversizedRequestTest, FieldWithinALargeLimitEndedTheProcess) {
+  setLimit("max_header_bytes", 131072);
+  const std::string LongName = std::string(65534, 'x') + ": 1\r\n";
+  EXPECT_THAT(send(absl::StrCat(Head, longField(), "\r\n")),
+              StartsWith("HTTP/1.1 431"));
+  EXPECT_THAT(send(absl::StrCat(Head, LongName, "\r\n")),
+              StartsWith("HTTP/1.1 431"));
+  EXPECT_THAT(send(Addresses[3], absl::StrCat(Head, longField(), "\r\n")),
+              StartsWith("HTTP/1.1 431"));
+  EXPECT_EQ(ask(), 200u);
+}
--- a/tests/relay/PlatformStoreTest.cpp
+++ b/tests/relay/PlatformStoreTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/PlatformStore.h"
+#include "absl/strings/str_cat.h"
 #include "support/BrokenAnswers.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -85,6 +86,21 @@
             "GET /kv-range?prefix=servers/&after=servers/a%20b HTTP/1.1");
 }
 
+// It ended the process.
+TEST_F(PlatformStoreTest, LongTrailerIsAFailedCall) {
+  for (const char *Status : {"200 OK", "503 Busy", "421 Misdirected"})
+    for (const std::string &Trailer : {"X-Name: " + std::string(70000, 'x'),
+                                       std::string(70000, 'x') + ": 1"}) {
+      sendOnce(absl::StrCat("HTTP/1.1 ", Status,
+                            "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "0\r\n",
+                            Trailer, "\r\n\r\n"));
+      EXPECT_EQ(read().Outcome, StoreOutcome::Unknown) << Status;
+    }
+  respondOnce("200 OK", R"({"items": [], "current_rev": 9})");
+  EXPECT_EQ(read().Outcome, StoreOutcome::Done);
+}
+
 TEST_F(PlatformStoreTest, DecodesRemovals) {
   respondOnce("200 OK", R"({"events": [{"key": "k", "revision": 4,
                        "removed": true}], "current_rev": 4})");
--- a/tests/support/BrokenAnswers.h
+++ b/tests/support/BrokenAnswers.h
@@ -132,6 +132,12 @@
                                            "X Name: 1\r\n\r\n")},
       {"TrailerValue", framedBytes(Chunked, "b\r\nbroken-body\r\n0\r\n"
                                             "X-Name: a\x01\r\n\r\n")},
+      {"TrailerValueTooLong",
+       framedBytes(Chunked, "b\r\nbroken-body\r\n0\r\nX-Name: " +
+                                std::string(70000, 'x') + "\r\n\r\n")},
+      {"TrailerNameTooLong",
+       framedBytes(Chunked, "b\r\nbroken-body\r\n0\r\n" +
+                                std::string(70000, 'x') + ": 1\r\n\r\n")},
       {"ContentCoding", answerBytes(Ok, "Content-Encoding: gzip\r\n")},
       {"OtherProtocolNext",
        answerBytes("HTTP/1.1 101 Switching Protocols", "Upgrade: x\r\n")},
