relay: a length that could not be allocated ended the process

What callers saw: under an operator's max_body_bytes of 1e17 a head with "Content-Length:" ended the process, as a server's or the store's would under their limits if the memory were scarce.

Cause: the library reserves the length that a message announces before any of it has come; std::bad_alloc is caught by nobody.

Evidence: OversizedRequestTest.AnnouncedLengthEndedTheProcess on the code before: "terminate called after throwing an instance of 'std::bad_alloc'".

At most 1 MiB is reserved. What follows is allocated as it comes, which the account of held memory bounds.

--- a/src/relay/MessageParser.cpp
+++ b/src/relay/MessageParser.cpp
@@ -14,6 +14,8 @@
     std::numeric_limits<std::uint16_t>::max() - 2;
 /// Bytes of a field line besides its name and its value.
 static constexpr std::size_t FieldSeparatorBytes = 4;
+/// Largest part of an announced body that is allocated before it arrives.
+static constexpr std::uint64_t MaxReservedBytes = std::uint64_t{1} << 20;
 
 template <bool IsRequest>
 MessageParser<IsRequest>::MessageParser(const MessageLimits &Limits)
@@ -87,7 +89,8 @@
 template <bool IsRequest>
 void MessageParser<IsRequest>::on_body_init_impl(
     const boost::optional<std::uint64_t> &Length, ErrorCode &) {
-  Parsed.body().reserve(static_cast<std::size_t>(Length.value_or(0)));
+  Parsed.body().reserve(
+      static_cast<std::size_t>(std::min(Length.value_or(0), MaxReservedBytes)));
 }
 
 template <bool IsRequest>
--- a/tests/relay/MessageParserTest.cpp
+++ b/tests/relay/MessageParserTest.cpp
@@ -91,3 +91,17 @@
   EXPECT_FALSE(parse(Bytes, Extension.size()));
   EXPECT_EQ(parse(Bytes, Extension.size() - 1), http::error::header_limit);
 }
+
+// The length that a request announced was allocated at once; if that failed,
+// the process ended.
+TEST(MessageParserTest, AnnouncedLengthIsNotAllocated) {
+  MessageLimits Limits;
+  Limits.BodyBytes = std::uint64_t{1} << 62;
+  for (const char *Length : {"4611686018427387904", "10000000000000000"}) {
+    RequestParser Parser(Limits);
+    EXPECT_FALSE(parse(Parser, std::string(RequestLine) + "Content-Length: " +
+                                   Length + "\r\n\r\nbody"));
+    EXPECT_EQ(Parser.message().body(), "body");
+    EXPECT_LT(Parser.message().body().capacity(), std::size_t{4} << 20);
+  }
+}
--- a/tests/relay/OversizedRequestTest.cpp
+++ b/tests/relay/OversizedRequestTest.cpp
@@ -52,15 +52,20 @@
     absl::SleepFor(absl::Seconds(1));
   }
 
-  /// Sends \p Bytes to \p Address and returns what comes until the connection
-  /// ends or \p Enough has come.
-  std::string send(const std::string &Address, const std::string &Bytes,
-                   const std::string &Enough = "\r\n\r\n") {
+  tcp::socket connect(const std::string &Address) {
     tcp::socket Peer(CallerLoop);
     const std::size_t Colon = Address.find(':');
     Peer.connect(tcp::endpoint(
         boost::asio::ip::make_address(Address.substr(0, Colon)),
         static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)))));
+    return Peer;
+  }
+
+  /// Sends \p Bytes to \p Address and returns what comes until the connection
+  /// ends or \p Enough has come.
+  std::string send(const std::string &Address, const std::string &Bytes,
+                   const std::string &Enough = "\r\n\r\n") {
+    tcp::socket Peer = connect(Address);
     boost::system::error_code Fault;
     boost::asio::write(Peer, boost::asio::buffer(Bytes), Fault);
     std::string Text;
@@ -121,3 +126,15 @@
               StartsWith("HTTP/1.1 431"));
   EXPECT_EQ(ask(), 200u);
 }
+
+// What a request announced was allocated at once, with the process if it could
+// not be.
+TEST_F(OversizedRequestTest, AnnouncedLengthEndedTheProcess) {
+  setLimit("max_body_bytes", 100'000'000'000'000'000);
+  tcp::socket Caller = connect(Addresses[0]);
+  boost::asio::write(
+      Caller, boost::asio::buffer(absl::StrCat(
+                  Head, "Content-Length: 10000000000000000\r\n\r\nbody")));
+  absl::SleepFor(absl::Milliseconds(100));
+  EXPECT_EQ(ask(), 200u);
+}
