relay: a last chunk in pieces ended builds with assertions

What was seen: a process of a build with assertions (debug, asan, tsan) ends if a message in chunks without content comes in pieces, of which one ends between "0\r\n" and the last byte: "basic_parser.ipp:702: Assertion `n >= 5' failed". Builds with NDEBUG, as the deployed one, go on and parse it rightly.

Cause: the library asserts that it gets five bytes when it goes on with the last chunk, but leaves that to its caller.

MessageParser does not begin with the last chunk before its line end may be complete. That there is nothing else is checked by a property test, which cuts messages anywhere.

Failed before: MessageParserTest.ResultDoesNotDependOnTheCuts, in a build with assertions; a program of a few lines with the library alone shows the same.

--- a/src/relay/MessageParser.cpp
+++ b/src/relay/MessageParser.cpp
@@ -14,6 +14,9 @@
     std::numeric_limits<std::uint16_t>::max() - 2;
 /// Bytes of a field line besides its name and its value.
 static constexpr std::size_t FieldSeparatorBytes = 4;
+/// The last chunk of a body without the empty line that follows.
+static constexpr boost::beast::string_view LastChunk = "0\r\n";
+static constexpr std::size_t LineEndBytes = 2;
 /// Largest part of an announced body that is allocated before it arrives.
 static constexpr std::uint64_t MaxReservedBytes = std::uint64_t{1} << 20;
 
@@ -31,6 +34,12 @@
   std::size_t Offset = 0;
   while (Offset < Bytes.size() && !this->is_done()) {
     const Text Rest = Bytes.substr(Offset);
+    // The library asserts that it gets five bytes when it goes on with the last
+    // chunk, so it must not begin with fewer.
+    if (this->is_header_done() && this->chunked() &&
+        Rest.starts_with(LastChunk) &&
+        Rest.size() < LastChunk.size() + LineEndBytes)
+      break;
     const std::size_t Consumed =
         this->put(boost::asio::buffer(Rest.data(), Rest.size()), EC);
     Offset += Consumed;
--- a/tests/relay/MessageParserTest.cpp
+++ b/tests/relay/MessageParserTest.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 #include <string>
 
 using namespace quetzallead;
@@ -105,3 +106,44 @@
     EXPECT_LT(Parser.message().body().capacity(), std::size_t{4} << 20);
   }
 }
+
+TEST(MessageParserTest, BodyMayLookLikeALastChunk) {
+  RequestParser Parser{MessageLimits()};
+  EXPECT_FALSE(parse(Parser, std::string(RequestLine) +
+                                 "Content-Length: 3\r\n\r\n0\r\n"));
+  EXPECT_TRUE(Parser.is_done());
+  EXPECT_EQ(Parser.message().body(), "0\r\n");
+}
+
+// Assertions of the library ended the process if the last chunk came in pieces.
+RC_GTEST_PROP(MessageParserTest, ResultDoesNotDependOnTheCuts, ()) {
+  const auto Sizes =
+      rc::gen::element<std::size_t>(0, 1, 40, 1000, MaxPart, MaxPart + 1);
+  std::string Bytes = RequestLine;
+  if (*rc::gen::arbitrary<bool>())
+    Bytes += field(*rc::gen::inRange(1, 3000), *Sizes);
+  Bytes += Chunked;
+  for (int Left = *rc::gen::inRange(0, 3); Left > 0; --Left) {
+    const std::size_t Extension = *Sizes;
+    Bytes += "3";
+    Bytes += Extension > 0 ? ";" + std::string(Extension, 'x') : "";
+    Bytes += "\r\nabc\r\n";
+  }
+  Bytes += "0\r\n";
+  for (int Left = *rc::gen::inRange(0, 3); Left > 0; --Left)
+    Bytes += field(*rc::gen::inRange(1, 100), *Sizes);
+  Bytes += "\r\n";
+  const int Length = static_cast<int>(Bytes.size());
+  // Mostly near the end, where the framing is.
+  const auto Cuts = *rc::gen::container<std::vector<std::size_t>>(rc::gen::map(
+      rc::gen::oneOf(rc::gen::inRange(0, Length),
+                     rc::gen::inRange(std::max(0, Length - 12), Length)),
+      [](int At) { return static_cast<std::size_t>(At); }));
+  RequestParser Whole(limits(100000));
+  RequestParser Pieces(limits(100000));
+  const auto Expected = parse(Whole, Bytes);
+  RC_ASSERT(parse(Pieces, Bytes, Cuts) == Expected);
+  RC_ASSERT(Pieces.is_done() == Whole.is_done());
+  if (Whole.is_done())
+    RC_ASSERT(Pieces.message().body() == Whole.message().body());
+}
