relay: a head within a large limit of the operator was not read on

What callers saw: under a max_header_bytes of 131,072 a request with 74,000 bytes of head or trailer got 408 after header_timeout_ms or idle_timeout_ms, though it was within the limit. An extension of a chunk of 64 KiB, which can only be refused, was awaited as long.

Cause: reading stopped with 64 KiB unparsed, whatever the limit was, and only more bytes could have continued it. That bound is meant for what follows a request that is being served.

While a request is read, what can be unparsed of it is its head, an extension or a trailer; each has the limit of a head and is refused with 431 beyond it.

Failed before: OversizedRequestTest.HeadWithinALargeLimitWasNotReadOn and ExtensionWithoutEndIsRefusedAtOnce.

--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -9,8 +9,12 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-/// Reading pauses when more bytes than this await parsing.
+/// Reading pauses when more bytes than this await parsing while a request is
+/// served.
 static constexpr std::size_t MaxUnparsedBytes = std::size_t{64} << 10;
+/// Bytes of a chunk's framing besides its extension and the fields of a
+/// trailer.
+static constexpr std::size_t MaxChunkFramingBytes = 64;
 /// The connection is closed when response data stays unacknowledged this long;
 /// longer than the timeout of any caller.
 static constexpr Duration UnackedTimeout = absl::Seconds(10);
@@ -109,9 +113,11 @@
   if (Stage == SessionStage::Closed)
     return;
   updateHold();
-  // Stops reading from a caller that keeps sending while it is served.
-  const bool SendsTooMuch =
-      Unparsed.size() > MaxUnparsedBytes && Stage != SessionStage::Lingering;
+  // Stops reading from a caller that keeps sending while it is served. What is
+  // unparsed of a request that is being read has limits of its own.
+  const bool SendsTooMuch = Unparsed.size() > MaxUnparsedBytes &&
+                            Stage != SessionStage::Reading &&
+                            Stage != SessionStage::Lingering;
   const bool WaitsForMemory = Stage == SessionStage::Reading && !Hold.mayRead();
   if (!SendsTooMuch && !WaitsForMemory) {
     read();
@@ -172,7 +178,11 @@
     return;
   }
   Unparsed.erase(0, Parsed);
-  if (!Parser->is_header_done() && Unparsed.size() > Limits.MaxHeaderBytes) {
+  // Once the head is done, only an extension or a trailer can be unparsed.
+  const std::size_t Framing =
+      Parser->is_header_done() ? MaxChunkFramingBytes : 0;
+  if (!Parser->is_done() && Unparsed.size() > Framing &&
+      Unparsed.size() - Framing > Limits.MaxHeaderBytes) {
     reject(431);
     return;
   }
--- a/tests/relay/OversizedRequestTest.cpp
+++ b/tests/relay/OversizedRequestTest.cpp
@@ -127,6 +127,29 @@
   EXPECT_EQ(ask(), 200u);
 }
 
+// Reading stopped at 64 KiB whatever the limit was, and the caller got 408.
+TEST_F(OversizedRequestTest, HeadWithinALargeLimitWasNotReadOn) {
+  setLimit("max_header_bytes", 131072);
+  std::string Fields;
+  for (int I = 0; Fields.size() < 130000; ++I)
+    absl::StrAppend(&Fields, "X-", I, ": ", std::string(1000, 'x'), "\r\n");
+  EXPECT_THAT(send(absl::StrCat(Head, Fields, "\r\n")),
+              StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(send(chunked(Fields)), StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(send(absl::StrCat(Head, Fields, Fields, "\r\n")),
+              StartsWith("HTTP/1.1 431"));
+  EXPECT_THAT(send(chunked(Fields + Fields)), StartsWith("HTTP/1.1 431"));
+}
+
+// It was awaited until the timeout.
+TEST_F(OversizedRequestTest, ExtensionWithoutEndIsRefusedAtOnce) {
+  const absl::Time Begun = absl::Now();
+  EXPECT_THAT(send(absl::StrCat(Head, "Transfer-Encoding: chunked\r\n\r\n2;",
+                                std::string(70000, 'x'))),
+              StartsWith("HTTP/1.1 431"));
+  EXPECT_LT(absl::Now() - Begun, absl::Seconds(1));
+}
+
 // What a request announced was allocated at once, with the process if it could
 // not be.
 TEST_F(OversizedRequestTest, AnnouncedLengthEndedTheProcess) {
