relay: heads that the limits allow were refused between instances

What callers saw: under a max_header_bytes of 131,072 a head of 130,900 bytes got 200 from an instance that serves it itself, and 502 behind a home; an answer of a server with 65,400 bytes of head got 502 behind a home. What a home refuses has not run, but the asking instance cannot know.

Cause: the limits of messages between instances were those of callers' and servers' messages or below, but they carry these and a field of the link.

Both have 16 KiB more than what they carry.

Failed before: OversizedRequestTest.LongHeadOfACallerWasRefusedByTheHome and AskerTest.LongHeadOfAnAnswerWasRefusedBehindAHome.

--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -1,4 +1,5 @@
 #include "relay/BackendClient.h"
+#include "relay/LinkMessages.h"
 #include "relay/MemoryGuard.h"
 #include "runtime/Logger.h"
 #include <algorithm>
@@ -93,8 +94,10 @@
 std::shared_ptr<HttpConnection>
 BackendClient::openConnection(ServerEntry &Entry) {
   HttpConnectionLimits Limits;
-  if (Entry.Server->Info.IsInstance)
+  if (Entry.Server->Info.IsInstance) {
     Limits.ConnectTimeout = InstanceConnectTimeout;
+    Limits.HeaderBytes += LinkHeadRoom;
+  }
   Limits.Memory = Memory;
   if (Memory != nullptr)
     Limits.BodyBytes =
--- a/src/relay/LinkMessages.h
+++ b/src/relay/LinkMessages.h
@@ -19,6 +19,10 @@
 /// Target of the message that grants attempts.
 inline constexpr char LinkAttemptsTarget[] = "/quetzallead/attempts";
 
+/// Bytes that messages between instances may have in their heads besides what
+/// callers and backend servers have sent.
+inline constexpr std::size_t LinkHeadRoom = std::size_t{16} << 10;
+
 /// What an instance tells a home about a request, besides the request.
 struct LinkRequestInfo {
   /// Time since the caller's request arrived.
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -232,9 +232,12 @@
     return onLinkMessage(Asker, Message);
   };
   LinkHandlers.OnClosed = [](CallerSession &) {};
-  LinkHandlers.Limits = [] {
+  LinkHandlers.Limits = [this] {
     ClientLimits Limits;
-    Limits.MaxHeaderBytes = MaxLinkHeaderBytes;
+    // As much of a head as a caller may send to another instance.
+    const std::size_t OfCallers = RequestHandlers.Limits().MaxHeaderBytes;
+    Limits.MaxHeaderBytes =
+        std::max({MaxLinkHeaderBytes, OfCallers, OfCallers + LinkHeadRoom});
     Limits.MaxBodyBytes = MaxLinkBodyBytes;
     Limits.HeaderTimeout = LinkHeaderTimeout;
     Limits.IdleTimeout = LinkIdleTimeout;
--- a/tests/relay/OversizedRequestTest.cpp
+++ b/tests/relay/OversizedRequestTest.cpp
@@ -1,3 +1,5 @@
+#include "platform/PlatformHeaders.h"
+#include "relay/LinkMessages.h"
 #include "relay/RelayWithStore.h"
 #include <gmock/gmock.h>
 
@@ -150,6 +152,29 @@
   EXPECT_LT(absl::Now() - Begun, absl::Seconds(1));
 }
 
+// The link had a limit of its own below that of callers.
+TEST_F(OversizedRequestTest, LongHeadOfACallerWasRefusedByTheHome) {
+  setLimit("max_header_bytes", 131072);
+  const std::string Secret = Store.value("quetzallead/link-secret");
+  ASSERT_FALSE(Secret.empty());
+  ForwardedRequest Call;
+  Call.Method = "GET";
+  Call.Target = "/a";
+  Call.Host = "h";
+  Call.RequestId = "r1";
+  Call.Headers = "Request-Id: r1\r\n";
+  for (int I = 0; Call.Headers.size() < 130900; ++I)
+    absl::StrAppend(&Call.Headers, "X-", I, ": ", std::string(900, 'x'),
+                    "\r\n");
+  const std::string Text =
+      send(Addresses[3],
+           encodeLinkRequest(Call, platformHeaderNames(), LinkRequestInfo(),
+                             absl::Seconds(2), Secret),
+           "\r\n\r\n/a");
+  EXPECT_NE(Text.find("HTTP/1.1 200"), std::string::npos)
+      << Text.substr(0, 200);
+}
+
 // What a request announced was allocated at once, with the process if it could
 // not be.
 TEST_F(OversizedRequestTest, AnnouncedLengthEndedTheProcess) {
--- a/tests/relay/RepeatAcrossInstancesTest.cpp
+++ b/tests/relay/RepeatAcrossInstancesTest.cpp
@@ -158,6 +158,15 @@
   }
 }
 
+// A head that a server may send was too long with what the home adds to it.
+TEST_F(AskerTest, LongHeadOfAnAnswerWasRefusedBehindAHome) {
+  awaitHomes();
+  for (HomeStandIn *Home : {&First, &Second})
+    Home->setHead("HTTP/1.1 200 OK",
+                  "X-Name: " + std::string(65400, 'x') + "\r\n");
+  EXPECT_EQ(ask(), 200u);
+}
+
 // The asking instance had an older sheet and sent the request to the second
 // home as well when the first one had ended: it ran twice.
 TEST_F(AskerTest, RequestThatMayRunOnceWentToASecondHome) {
