daemon: a reply with an epoch of another type ended the process

What callers saw: a backend server that answers a command with {"epoch": "x", "version": 5, ...} ended quetzalleadd, with all requests that it served.

Cause: the answer to the caller read the two numbers by json::value(), which throws for a field of another type; so did an epoch beyond 32 bits lose its upper half. The reader of replies takes an epoch of another type for none.

Evidence: type_error.302 out of commandResponse(), which runs on the client's thread, where nothing catches it.

The numbers are read with their type checked, as 64 bits.

--- a/src/daemon/CommandResponse.cpp
+++ b/src/daemon/CommandResponse.cpp
@@ -48,6 +48,16 @@
           "the command may have run; it will not be repeated", Answer.State};
 }
 
+/// The number \p Key of a server's reply; 0 if it is none.
+static std::uint64_t numberOf(const json &Reply, const char *Key) {
+  if (!Reply.is_object())
+    return 0;
+  auto Found = Reply.find(Key);
+  return Found != Reply.end() && Found->is_number_unsigned()
+             ? Found->get<std::uint64_t>()
+             : 0;
+}
+
 HttpResponse commandResponse(const std::string &RequestId,
                              const std::string &Service,
                              const std::string &Shard,
@@ -63,9 +73,8 @@
   Body["request_id"] = RequestId;
   Body["service"] = Service;
   Body["run_state"] = nameOf(RunStateNames, Answer.State);
-  Body["snapshot"]["epoch"] = Reply.is_object() ? Reply.value("epoch", 0) : 0;
-  Body["snapshot"]["version"] =
-      Reply.is_object() ? Reply.value("version", 0) : 0;
+  Body["snapshot"]["epoch"] = numberOf(Reply, "epoch");
+  Body["snapshot"]["version"] = numberOf(Reply, "version");
   Body["coverage"]["wanted"] = 1;
   Body["coverage"]["covered"] = 1;
   Body["coverage"]["complete"] = true;
