daemon: a deeply nested answer of another instance is refused

Cause: a command's answer that another instance has passed on is copied level by level, on the stack, and had no limit on its nesting but the size of a frame (4 MiB); a server's own reply has one of 64. An instance sends no such answer, since it has read the reply itself; one with a fault, or whoever has the peers' key, could end the process.

Such an answer is none: the command's run is unknown, as for any that cannot be read. Not seen outside of the test.

Failed before: CommandWireTest.DeeplyNestedAnswerIsRefused.

--- a/src/daemon/BackendCodec.cpp
+++ b/src/daemon/BackendCodec.cpp
@@ -14,8 +14,6 @@
 static constexpr int StatusCancelled = 499;
 static constexpr int StatusUnavailable = 503;
 static constexpr int StatusTimeout = 504;
-/// Nesting of arrays and objects in a reply.
-static constexpr std::size_t MaxReplyDepth = 64;
 
 std::string encodeSubRequest(const SubRequestTemplate &Template,
                              const std::string &Id, std::uint64_t Version) {
--- a/src/daemon/BackendCodec.h
+++ b/src/daemon/BackendCodec.h
@@ -17,6 +17,9 @@
   std::string Members;
 };
 
+/// Nesting of arrays and objects in a reply.
+inline constexpr std::size_t MaxReplyDepth = 64;
+
 /// What one exchange with a backend server came to.
 struct DecodedReply {
   AttemptResult Result = AttemptResult::BadReply;
--- a/src/daemon/CommandWire.cpp
+++ b/src/daemon/CommandWire.cpp
@@ -1,5 +1,7 @@
 #include "daemon/CommandWire.h"
 #include "core/base/Cbor.h"
+#include "core/base/JsonText.h"
+#include "daemon/BackendCodec.h"
 #include <nlohmann/json.hpp>
 
 namespace quetzallead {
@@ -88,7 +90,8 @@
                readText(Map, "ticket", Answer.FreshTicket);
   auto Status = valueOf(CommandStatusNames, StatusName);
   auto Run = valueOf(RunStateNames, RunName);
-  if (!Whole || !Status || !Run)
+  // What is nested deeper is copied level by level, on the stack.
+  if (!Whole || !Status || !Run || !nestsWithin(Answer.Body, MaxReplyDepth))
     return std::nullopt;
   Answer.Status = *Status;
   Answer.State = *Run;
--- a/tests/daemon/CommandWireTest.cpp
+++ b/tests/daemon/CommandWireTest.cpp
@@ -38,6 +38,16 @@
   EXPECT_FALSE(decodeCommand(Bytes, Now));
 }
 
+// Such an answer used up the stack.
+TEST(CommandWireTest, DeeplyNestedAnswerIsRefused) {
+  CommandAnswer Answer;
+  Answer.Status = CommandStatus::Answered;
+  Answer.State = RunState::Ran;
+  Answer.Body = R"({"rows": )" + std::string(500000, '[') +
+                std::string(500000, ']') + "}";
+  EXPECT_FALSE(decodeCommandAnswer(encodeCommandAnswer(Answer)));
+}
+
 TEST(CommandWireTest, AnAnswerReadsBack) {
   CommandAnswer Answer;
   Answer.Status = CommandStatus::Answered;
