daemon: texts that are not UTF-8 ended the process

What operators saw: a sheet with a byte that is not UTF-8 ended quetzalleadd, as did "instances" and "sheet status" once another instance had told a name or a zone with such a byte.

Cause: the library throws when it writes a text that is not UTF-8 as JSON, unless it is told to replace the bytes. The refusal of a sheet quotes what could not be read; texts in CBOR, from other instances, are not checked. Nothing catches it on the way through the HTTP server's library.

Evidence: "terminate called after throwing an instance of 'nlohmann::json_abi_v3_11_2::detail::type_error'" in the tests below, on the code before.

All answers in JSON are written by jsonResponse(), which replaces such bytes. The numbers of a fetched sheet are read as unsigned only.

Failed before: OddBytesTest.SheetThatIsNotUtf8EndedTheProcess and InstanceWhoseNameIsNotUtf8EndedTheProcess. LongRequestsDoNotEndTheProcess, the plays of the relay sent to all four listeners, passed before as well.

--- a/src/daemon/AdminFrontend.cpp
+++ b/src/daemon/AdminFrontend.cpp
@@ -6,6 +6,7 @@
 #include "daemon/DecisionRing.h"
 #include "daemon/DrainGate.h"
 #include "daemon/FleetService.h"
+#include "daemon/JsonResponse.h"
 #include "daemon/Problem.h"
 #include "daemon/SheetService.h"
 #include "runtime/TimerService.h"
@@ -23,15 +24,6 @@
 static constexpr int StatusUnavailable = 503;
 static constexpr absl::string_view ExplainPath = "/v1/explain/";
 
-static HttpResponse jsonResponse(const ordered_json &Body, int Status = 200) {
-  HttpResponse Response;
-  Response.Status = Status;
-  Response.Headers.add("Content-Type", "application/json");
-  Response.Body =
-      Body.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
-  return Response;
-}
-
 static double millis(Duration D) { return absl::ToDoubleMilliseconds(D); }
 
 static std::string timeText(TimePoint T) {
--- a/src/daemon/CallerFrontend.cpp
+++ b/src/daemon/CallerFrontend.cpp
@@ -7,6 +7,7 @@
 #include "daemon/ClusterDirectory.h"
 #include "daemon/CommandService.h"
 #include "daemon/DrainGate.h"
+#include "daemon/JsonResponse.h"
 #include "daemon/Problem.h"
 #include "daemon/QueryPlanner.h"
 #include "daemon/SessionService.h"
@@ -168,22 +169,16 @@
   Body["expires_at"] = absl::FormatTime(absl::RFC3339_sec, E->Session->Expires,
                                         absl::UTCTimeZone());
   Body["ticket"] = Ticket;
-  HttpResponse Response;
-  Response.Status = StatusCreated;
-  Response.Headers.add("Content-Type", "application/json");
+  HttpResponse Response = jsonResponse(Body, StatusCreated);
   Response.Headers.add("Quetzallead-Ticket", Ticket);
-  Response.Body = Body.dump();
   finish(E, std::move(Response), 0);
 }
 
 void CallerFrontend::issueTicket(const ExchangePtr &E) {
   std::string Ticket = Commands.issueTicket(E->Context.Received);
-  nlohmann::json Body{{"ticket", Ticket}};
-  HttpResponse Response;
-  Response.Status = StatusCreated;
-  Response.Headers.add("Content-Type", "application/json");
+  nlohmann::ordered_json Body{{"ticket", Ticket}};
+  HttpResponse Response = jsonResponse(Body, StatusCreated);
   Response.Headers.add("Quetzallead-Ticket", Ticket);
-  Response.Body = Body.dump();
   finish(E, std::move(Response), 0);
 }
 
--- a/src/daemon/CommandResponse.cpp
+++ b/src/daemon/CommandResponse.cpp
@@ -1,4 +1,5 @@
 #include "daemon/CommandResponse.h"
+#include "daemon/JsonResponse.h"
 #include "daemon/Problem.h"
 #include <nlohmann/json.hpp>
 
@@ -82,11 +83,8 @@
   bool HasRows = Reply.is_object() && Reply.contains("rows");
   Body["rows"] = HasRows ? Reply["rows"] : json::array();
   Body["shard"] = Shard;
-  HttpResponse Response;
-  Response.Headers.add("Content-Type", "application/json");
+  HttpResponse Response = jsonResponse(Body);
   Response.Headers.add("X-Request-Id", RequestId);
-  Response.Body =
-      Body.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
   return Response;
 }
 
--- a/src/daemon/FleetService.cpp
+++ b/src/daemon/FleetService.cpp
@@ -2,6 +2,7 @@
 #include "absl/strings/str_cat.h"
 #include "core/command/Ticket.h"
 #include "core/membership/GossipCodec.h"
+#include "daemon/JsonResponse.h"
 #include "daemon/Settings.h"
 #include "runtime/Logger.h"
 #include <algorithm>
@@ -464,10 +465,7 @@
     Entry["sheet_revision"] = R.SheetRevision;
     List.push_back(std::move(Entry));
   }
-  HttpResponse Response;
-  Response.Headers.add("Content-Type", "application/json");
-  Response.Body = nlohmann::ordered_json{{"instances", List}}.dump();
-  return Response;
+  return jsonResponse({{"instances", List}});
 }
 
 } // namespace quetzallead
--- a/src/daemon/SheetService.cpp
+++ b/src/daemon/SheetService.cpp
@@ -1,6 +1,7 @@
 #include "daemon/SheetService.h"
 #include "daemon/ClusterDirectory.h"
 #include "daemon/FleetService.h"
+#include "daemon/JsonResponse.h"
 #include "quetzallead/SheetCodec.h"
 #include "quetzallead/SheetDelta.h"
 #include "quetzallead/SheetDocumentCodec.h"
@@ -30,14 +31,6 @@
 static constexpr std::size_t RecentDocuments = 4;
 static constexpr const char *WatchDuty = "sheet-watch";
 
-static HttpResponse jsonResponse(const ordered_json &Body, int Status = 200) {
-  HttpResponse Response;
-  Response.Status = Status;
-  Response.Headers.add("Content-Type", "application/json");
-  Response.Body = Body.dump();
-  return Response;
-}
-
 SheetService::SheetService(ClusterDirectory &Dir, PlatformClient &PlatformPart,
                            TimerService &TimerPart, std::uint64_t Seed)
     : Directory(Dir), Platform(PlatformPart), Timers(TimerPart),
@@ -140,8 +133,9 @@
 }
 
 static bool readDelta(const json &Body, SheetDelta &Delta) {
-  bool Whole = Body.is_object() && Body.value("from", json()).is_number() &&
-               Body.value("to", json()).is_number() &&
+  bool Whole = Body.is_object() &&
+               Body.value("from", json()).is_number_unsigned() &&
+               Body.value("to", json()).is_number_unsigned() &&
                Body.value("digest", json()).is_string() &&
                Body.value("body", json()).is_string();
   if (!Whole)
