relay: refused messages are logged and counted with their peer

What on-call saw: nothing of a caller, a probe, a scraper or another instance whose request was refused while it was read (400, 408, 413, 431), and no counter for responses that were refused. When such bytes ended the process, nothing told who had sent them.

request_refused and response_refused name the kind of the peer, its address and the defect, never its bytes; quetzallead_refused_messages_total counts them by peer and defect. RequestDefect takes the place of bare statuses.

Test: OversizedRequestTest.RefusedMessagesAreCountedByPeer.

--- a/src/cli/LogStory.cpp
+++ b/src/cli/LogStory.cpp
@@ -64,6 +64,7 @@
     {"server_unreachable", "a server went out of reach", false},
     {"server_reachable", "a server came back into reach", false},
     {"server_entry_unreadable", "an entry of the feed names no server", false},
+    {"request_refused", "a request could not be read to its end", false},
     {"request_rejected", "the request was turned away before a route", false},
     {"request_failed", "the request got no usable answer", false},
     {"caller_left", "the caller left before its answer", false},
--- a/src/relay/BackendClient.cpp
+++ b/src/relay/BackendClient.cpp
@@ -162,19 +162,23 @@
   Request.LatestStart = Server->Info.MayEndAt;
   C->exchange(std::move(Request), [this, Key, SentAt, Done = std::move(Done)](
                                       HttpExchangeResult End) {
-    onExchangeEnd(Key, End.Result, LoopTimers::now() - SentAt);
+    onExchangeEnd(Key, End, LoopTimers::now() - SentAt);
     Done(std::move(End));
   });
   updateIdleCount(Entry);
   return C;
 }
 
-void BackendClient::onExchangeEnd(const PoolServer *Key, AttemptResult Result,
+void BackendClient::onExchangeEnd(const PoolServer *Key,
+                                  const HttpExchangeResult &End,
                                   Duration Elapsed) {
   auto It = Entries.find(Key);
   if (It == Entries.end())
     return;
   ServerEntry &Entry = It->second;
+  const AttemptResult Result = End.Result;
+  if (Result == AttemptResult::BadReply && Observer.OnRefused)
+    Observer.OnRefused(*Entry.Server, End.Defect);
   const bool Unresponsive =
       Result == AttemptResult::TimedOut && Elapsed >= UnresponsiveTimeout;
   if (Result == AttemptResult::NotSent || Unresponsive) {
--- a/src/relay/BackendClient.h
+++ b/src/relay/BackendClient.h
@@ -13,7 +13,7 @@
 namespace quetzallead {
 
 /// Told what the connections to backend servers show; those to instances of
-/// this tier are left out. Each may be empty.
+/// this tier are left out, but for OnRefused. Each may be empty.
 struct BackendObserver {
   /// An attempt has been sent.
   std::function<void()> OnSent;
@@ -21,6 +21,8 @@
   std::function<void()> OnHeard;
   /// A server has been marked unreachable.
   std::function<void()> OnUnreachable;
+  /// A response was refused.
+  std::function<void(const PoolServer &, ResponseDefect)> OnRefused;
 };
 
 /// Keep-alive connections to backend servers. A connection belongs to one
@@ -75,7 +77,7 @@
   static void closeOlderConnections(ServerEntry &Entry,
                                     const HttpConnection *New);
   static void finishAliveChecks(ServerEntry &Entry, bool Alive);
-  void onExchangeEnd(const PoolServer *Key, AttemptResult Result,
+  void onExchangeEnd(const PoolServer *Key, const HttpExchangeResult &End,
                      Duration Elapsed);
   void onClosed(const PoolServer *Key, const HttpConnection *Closed,
                 ConnectionEnd End);
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -38,7 +38,7 @@
 void CallerSession::start() {
   setSocketOptions(Socket, UnackedTimeout, KeepAliveInterval);
   RoundTrip = roundTripTime(Socket);
-  startTimer(Handlers.Limits().IdleTimeout, 0);
+  startTimer(Handlers.Limits().IdleTimeout, false);
   // Both are called while this object is open, and so alive.
   Hold.OnEnd = [this] { endForMemory(); };
   Hold.OnResume = [this] {
@@ -71,18 +71,18 @@
 void CallerSession::endForMemory() {
   auto Guard = shared_from_this();
   if (Stage == SessionStage::Reading)
-    reject(503, MemoryRetryAfter);
+    reject(RequestDefect::NoMemory, MemoryRetryAfter);
   else if (Stage == SessionStage::Writing)
     close();
 }
 
-void CallerSession::startTimer(Duration Timeout, unsigned Status) {
-  Timer = Timers.at(LoopTimers::now() + Timeout, [this, Status](TimePoint) {
+void CallerSession::startTimer(Duration Timeout, bool Begun) {
+  Timer = Timers.at(LoopTimers::now() + Timeout, [this, Begun](TimePoint) {
     auto Guard = shared_from_this();
-    if (Status == 0)
-      close();
+    if (Begun)
+      reject(RequestDefect::Incomplete);
     else
-      reject(Status);
+      close();
   });
 }
 
@@ -157,6 +157,14 @@
   close();
 }
 
+/// What the parser refuses.
+static RequestDefect defectOf(const error_code &EC) {
+  if (EC == http::error::header_limit)
+    return RequestDefect::HeadTooLarge;
+  return EC == http::error::body_limit ? RequestDefect::BodyTooLarge
+                                       : RequestDefect::Malformed;
+}
+
 void CallerSession::parse() {
   const ClientLimits Limits = Handlers.Limits();
   if (Unparsed.empty())
@@ -164,17 +172,12 @@
   if (!Parser) {
     Parser.emplace(MessageLimits{Limits.MaxHeaderBytes, Limits.MaxBodyBytes});
     HeaderSeen = false;
-    startTimer(Limits.HeaderTimeout, 408);
+    startTimer(Limits.HeaderTimeout, true);
   }
   error_code EC;
   const std::size_t Parsed = Parser->parse(Unparsed, EC);
   if (EC) {
-    if (EC == http::error::header_limit)
-      reject(431);
-    else if (EC == http::error::body_limit)
-      reject(413);
-    else
-      reject(400);
+    reject(defectOf(EC));
     return;
   }
   Unparsed.erase(0, Parsed);
@@ -183,11 +186,11 @@
       Parser->is_header_done() ? MaxChunkFramingBytes : 0;
   if (!Parser->is_done() && Unparsed.size() > Framing &&
       Unparsed.size() - Framing > Limits.MaxHeaderBytes) {
-    reject(431);
+    reject(RequestDefect::HeadTooLarge);
     return;
   }
   if (Parser->is_header_done() && !Parser->is_done()) {
-    startTimer(Limits.IdleTimeout, 408);
+    startTimer(Limits.IdleTimeout, true);
     const auto Expect = Parser->message()[http::field::expect];
     if (!HeaderSeen &&
         absl::EqualsIgnoreCase(absl::string_view(Expect.data(), Expect.size()),
@@ -224,11 +227,13 @@
     Unparsed.erase(0, Consumed);
 }
 
-void CallerSession::reject(unsigned Status, Duration RetryAfter) {
+void CallerSession::reject(RequestDefect Defect, Duration RetryAfter) {
+  if (Handlers.OnRefused)
+    Handlers.OnRefused(peerAddress(Socket), Defect);
   Stage = SessionStage::Serving;
   Parser.reset();
   std::string().swap(Unparsed);
-  respond(encodeStatusResponse(Status, RetryAfter, false), false);
+  respond(encodeStatusResponse(statusOf(Defect), RetryAfter, false), false);
 }
 
 void CallerSession::respond(std::string Bytes, bool KeepOpen) {
@@ -292,7 +297,7 @@
 void CallerSession::readNext() {
   Stage = SessionStage::Reading;
   updateHold();
-  startTimer(Handlers.Limits().IdleTimeout, 0);
+  startTimer(Handlers.Limits().IdleTimeout, false);
   resumeReading();
   if (!Unparsed.empty())
     asio::post(Socket.get_executor(), [Self = shared_from_this()] {
@@ -311,7 +316,7 @@
     return;
   }
   resumeReading();
-  startTimer(LingerTimeout, 0);
+  startTimer(LingerTimeout, false);
 }
 
 void CallerSession::acknowledge() {
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -7,6 +7,7 @@
 #include "relay/MemoryHold.h"
 #include "relay/MessageParser.h"
 #include "relay/RelayMessages.h"
+#include "relay/RequestDefect.h"
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -34,6 +35,8 @@
   /// Handles a request that arrives while another is served, if it is a message
   /// that has no response; returns whether it is. May be empty.
   std::function<bool(CallerSession &, HttpRequest)> OnMessage;
+  /// A request is refused, before its response is sent; may be empty.
+  std::function<void(const std::string &Address, RequestDefect)> OnRefused;
   /// The account of what is held; may be null.
   MemoryGuard *Memory = nullptr;
 };
@@ -94,7 +97,7 @@
   void parseMessage();
   /// Reads the next request.
   void readNext();
-  void reject(unsigned Status, Duration RetryAfter = absl::ZeroDuration());
+  void reject(RequestDefect Defect, Duration RetryAfter = absl::ZeroDuration());
   /// Writes the rest of Outgoing.
   void writeOn();
   void updateHold();
@@ -102,7 +105,9 @@
   void endForMemory();
   void onWritten();
   void linger();
-  void startTimer(Duration Timeout, unsigned Status);
+  /// Closes the connection after \p Timeout, or rejects the request if it has
+  /// begun.
+  void startTimer(Duration Timeout, bool Begun);
 
   boost::asio::ip::tcp::socket Socket;
   LoopTimers &Timers;
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -3,7 +3,6 @@
 #include "absl/strings/strip.h"
 #include "relay/SocketOptions.h"
 #include "runtime/Endpoint.h"
-#include "runtime/Logger.h"
 #include <boost/asio/write.hpp>
 
 namespace quetzallead {
@@ -400,9 +399,6 @@
 }
 
 void HttpConnection::refuse(ResponseDefect Defect) {
-  logEvent(
-      LogLevel::Warning, "response_refused",
-      {{"address", Address}, {"defect", nameOf(ResponseDefectNames, Defect)}});
   fail(AttemptResult::BadReply, Defect);
 }
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -73,7 +73,7 @@
       Environment(std::move(GivenEnvironment)),
       Memory(Timers, memoryBytes(Settings)), Loop(1), Timers(Loop),
       Shutdown(Timers), State(stateOptions(Settings)),
-      Metrics(Settings.Instance, Settings.Zone),
+      Metrics(Settings.Instance, Settings.Zone), Refusals(Metrics),
       Feed(serverFeedOptions(Settings)), Backends(Loop, Timers, &Memory),
       Servers(State, Backends, Timers, Metrics),
       Announcements(Loop, State, Backends, Metrics, Environment.Headers),
@@ -247,6 +247,25 @@
   for (CallerHandlers *Handlers :
        {&RequestHandlers, &ReadinessHandlers, &MetricsHandlers, &LinkHandlers})
     Handlers->Memory = &Memory;
+  const std::pair<CallerHandlers *, PeerKind> Listeners[] = {
+      {&RequestHandlers, PeerKind::Caller},
+      {&ReadinessHandlers, PeerKind::Prober},
+      {&MetricsHandlers, PeerKind::Scraper},
+      {&LinkHandlers, PeerKind::Instance}};
+  for (const auto &[Handlers, Kind] : Listeners)
+    Handlers->OnRefused = [this, Kind = Kind](const std::string &Address,
+                                              RequestDefect Defect) {
+      Refusals.onRequest(Kind, Address, Defect);
+    };
+  Backends.Observer.OnRefused = [this](const PoolServer &From,
+                                       ResponseDefect Defect) {
+    const PeerKind Kind =
+        From.Info.IsInstance ? PeerKind::Instance : PeerKind::Server;
+    Refusals.onResponse(Kind, From.Info.Id, From.Info.Address, Defect);
+  };
+  Store->OnRefused = [this](const std::string &Address, ResponseDefect Defect) {
+    Refusals.onResponse(PeerKind::Store, "", Address, Defect);
+  };
 }
 
 Result<bool> RelayDaemon::bind(Acceptor &Listener, const std::string &Address) {
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -17,6 +17,7 @@
 #include "relay/LinkMessages.h"
 #include "relay/MemoryGuard.h"
 #include "relay/PrefixWatcher.h"
+#include "relay/RefusalLog.h"
 #include "relay/RejectReason.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySession.h"
@@ -168,6 +169,7 @@
   LoopSteps Steps;
   RelayState State;
   RelayMetrics Metrics;
+  RefusalLog Refusals;
   ServerFeed Feed;
   BackendClient Backends;
   ServerContactMonitor Servers;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -110,6 +110,12 @@
     MemoryFreed.Add({{"use", std::string(nameOf(MemoryUseNames, Use))}})
         .Increment();
   }
+  void messageRefused(PeerKind From, absl::string_view Defect) {
+    RefusedMessages
+        .Add({{"peer", std::string(nameOf(PeerKindNames, From))},
+              {"defect", std::string(Defect)}})
+        .Increment();
+  }
   void storeLost(const char *Following, StoreOutcome Outcome) {
     StoreLosses
         .Add({{"following", Following},
@@ -163,6 +169,10 @@
   Family<Counter> &Rejected =
       counterFamily("quetzallead_rejected_requests_total",
                     "Requests turned away before they met a route, by reason.");
+  Family<Counter> &RefusedMessages = counterFamily(
+      "quetzallead_refused_messages_total",
+      "Requests and responses that were refused as messages, by peer and "
+      "defect.");
   Family<Counter> &LongSteps =
       counterFamily("quetzallead_loop_steps_long_total",
                     "Steps of the event loop that took more than 5 ms."
@@ -429,6 +439,10 @@
   Impl->storeLost(Following, Outcome);
 }
 
+void RelayMetrics::messageRefused(PeerKind From, absl::string_view Defect) {
+  Impl->messageRefused(From, Defect);
+}
+
 void RelayMetrics::storeReturned() { Impl->storeReturned(); }
 
 void RelayMetrics::serversLost() { Impl->serversLost(); }
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -1,11 +1,13 @@
 #ifndef QUETZALLEAD_RELAY_RELAYMETRICS_H
 #define QUETZALLEAD_RELAY_RELAYMETRICS_H
 
+#include "absl/strings/string_view.h"
 #include "core/relay/MemoryUse.h"
 #include "quetzallead/AttemptCause.h"
 #include "quetzallead/AttemptResult.h"
 #include "relay/AccountUse.h"
 #include "relay/LoopSteps.h"
+#include "relay/PeerKind.h"
 #include "relay/RejectReason.h"
 #include "relay/RelayRequestSample.h"
 #include "relay/RelaySnapshot.h"
@@ -51,6 +53,8 @@
   /// A request of a caller was handed over to a home because this instance
   /// lacks servers; \p Begun tells whether it had sent it to a server before.
   void requestHandedOver(bool Begun);
+  /// A message of a peer was refused; \p Defect is one of a table of names.
+  void messageRefused(PeerKind From, absl::string_view Defect);
   /// A request has met the limit of \p Account.
   void accountUsed(const std::string &Account, AccountUse Use);
   /// A backend server has ended while it ran a request.
--- a/src/relay/RevisionedStore.h
+++ b/src/relay/RevisionedStore.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALLEAD_RELAY_REVISIONEDSTORE_H
 #define QUETZALLEAD_RELAY_REVISIONEDSTORE_H
 
+#include "core/http/ResponseDefect.h"
 #include "quetzallead/Time.h"
 #include "relay/StoreItem.h"
 #include <cstdint>
@@ -26,6 +27,8 @@
   /// callback of its own call; may be empty. A store that turns a call away for
   /// the number of calls serves others.
   std::function<void()> OnServed;
+  /// Called when a response was refused; may be empty.
+  std::function<void(const std::string &Address, ResponseDefect)> OnRefused;
   /// Reads items whose keys begin with \p Prefix and sort after \p AfterKey.
   /// \p AllowStale permits a response that is seconds old.
   virtual void read(const std::string &Prefix, const std::string &AfterKey,
--- a/src/relay/SocketOptions.cpp
+++ b/src/relay/SocketOptions.cpp
@@ -1,4 +1,5 @@
 #include "relay/SocketOptions.h"
+#include "absl/strings/str_cat.h"
 #include "runtime/Logger.h"
 #include <algorithm>
 #include <netinet/tcp.h>
@@ -47,6 +48,13 @@
   setIntOption(Listener.native_handle(), SOL_SOCKET, SO_RCVBUF, Bytes);
 }
 
+std::string peerAddress(const asio::ip::tcp::socket &Socket) {
+  boost::system::error_code Fault;
+  const auto Peer = Socket.remote_endpoint(Fault);
+  return Fault ? std::string()
+               : absl::StrCat(Peer.address().to_string(), ":", Peer.port());
+}
+
 Duration roundTripTime(asio::ip::tcp::socket &Socket) {
   tcp_info Info{};
   socklen_t Length = sizeof(Info);
--- a/src/relay/SocketOptions.h
+++ b/src/relay/SocketOptions.h
@@ -3,9 +3,13 @@
 
 #include "quetzallead/Time.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <string>
 
 namespace quetzallead {
 
+/// The address of the peer; empty if the connection has ended.
+std::string peerAddress(const boost::asio::ip::tcp::socket &Socket);
+
 /// Disables Nagle's algorithm, closes the connection when sent data stays
 /// unacknowledged for \p UnackedTimeout, and sends TCP keep-alive probes every
 /// \p KeepAliveInterval (none if zero). Options that the system rejects are
--- a/tests/relay/OversizedRequestTest.cpp
+++ b/tests/relay/OversizedRequestTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/PlatformHeaders.h"
+#include "relay/ByteServer.h"
 #include "relay/LinkMessages.h"
 #include "relay/RelayWithStore.h"
 #include <gmock/gmock.h>
@@ -101,6 +102,34 @@
   }
 }
 
+// On-call could not tell who had sent what.
+TEST_F(OversizedRequestTest, RefusedMessagesAreCountedByPeer) {
+  for (const std::string &Address : Addresses)
+    send(Address, chunked(longField()));
+  ByteServer Broken([](tcp::socket &Peer, const ByteServer::Request &) {
+    return ByteServer::send(
+        Peer, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n0\r\n" +
+                  longField() + "\r\n");
+  });
+  Store.put("servers/i-1",
+            absl::StrCat(R"({"service": "x", "zone": "a", "slots": 8, )",
+                         R"("born": 2, "state": "ready", "address": ")",
+                         Broken.address(), "\"}"));
+  await([&] { return ask() == 502; });
+  const std::string Metrics =
+      send(Addresses[2],
+           "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: "
+           "close\r\n\r\n",
+           "quetzallead_servers_losses_total{");
+  for (const char *Series : {R"(defect="head_too_large",peer="caller"} 1)",
+                             R"(defect="head_too_large",peer="prober"} 1)",
+                             R"(defect="head_too_large",peer="scraper"} 1)",
+                             R"(defect="head_too_large",peer="instance"} 1)",
+                             R"(defect="too_large",peer="server"})"})
+    EXPECT_THAT(Metrics, testing::HasSubstr(Series));
+}
+
 // It is parsed by a function of its own while another request is served.
 TEST_F(OversizedRequestTest, LongTrailerBehindARequestEndedTheProcess) {
   const std::string Slow = "GET /slow HTTP/1.1\r\nHost: h\r\nRequest-Id: s\r\n"
