runtime: an unhandled exception tells the peer whose bytes it met

What on-call saw: two lines on standard error, "terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>'" and "what(): field value too large", without a time, an instance or a peer, and not in the log.

unhandled_exception is logged, without the locks and limits of the log, with the exception's type, its text and what the thread was doing for which peer. The process still ends: an exception that is caught far from its cause would leave sessions half-way and requests without an answer. So any test or soak in which it happens fails.

--- a/src/daemon/DaemonMain.cpp
+++ b/src/daemon/DaemonMain.cpp
@@ -3,6 +3,7 @@
 #include "daemon/Settings.h"
 #include "runtime/DaemonArguments.h"
 #include "runtime/Logger.h"
+#include "runtime/UnhandledExceptions.h"
 #include <csignal>
 #include <iostream>
 #include <pthread.h>
@@ -34,6 +35,7 @@
     return ExitFailed;
   }
   initLogging(S.Log.Level, S.Log.File, S.Instance);
+  reportUnhandledExceptions();
   sigset_t Signals = blockStopSignals();
   auto Made =
       capture([&] { return Daemon::make(S, std::get<Secrets>(Loaded)); });
--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -1,6 +1,7 @@
 #include "relay/CallerSession.h"
 #include "absl/strings/match.h"
 #include "relay/SocketOptions.h"
+#include "runtime/PeerScope.h"
 #include <boost/asio/write.hpp>
 
 namespace quetzallead {
@@ -104,6 +105,12 @@
     read();
     return;
   }
+  const PeerScope Scope(
+      "reading requests",
+      [](const void *Peer) {
+        return peerAddress(static_cast<const CallerSession *>(Peer)->Socket);
+      },
+      this);
   Hold.noteProgress(LoopTimers::now());
   Unparsed.append(Buffer.data(), Count);
   if (Stage == SessionStage::Reading)
--- a/src/relay/HttpConnection.cpp
+++ b/src/relay/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/strip.h"
 #include "relay/SocketOptions.h"
 #include "runtime/Endpoint.h"
+#include "runtime/PeerScope.h"
 #include <boost/asio/write.hpp>
 
 namespace quetzallead {
@@ -192,6 +193,12 @@
     return;
   }
   auto Self = shared_from_this();
+  const PeerScope Scope(
+      "reading a response",
+      [](const void *Peer) {
+        return static_cast<const HttpConnection *>(Peer)->Address;
+      },
+      this);
   parse(absl::string_view(Buffer.data(), Count));
   updateHold();
   if (Stage != ConnectionStage::Open)
--- a/src/relay/RelayMain.cpp
+++ b/src/relay/RelayMain.cpp
@@ -1,6 +1,7 @@
 #include "platform/PlatformDeployment.h"
 #include "relay/RelayDaemon.h"
 #include "runtime/DaemonArguments.h"
+#include "runtime/UnhandledExceptions.h"
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -15,6 +16,7 @@
 
 int runRelay(const RelaySettings &S) {
   initBoundedLogging(S.Log, S.Instance, S.LogLinesPerSecond);
+  reportUnhandledExceptions();
   std::signal(SIGPIPE, SIG_IGN);
   RelayDaemon Daemon(S, platformDeployment());
   auto Bound = capture([&] { return Daemon.listen(); });
--- a/src/runtime/Logger.cpp
+++ b/src/runtime/Logger.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "runtime/LastEvent.h"
 #include "runtime/LogLimiter.h"
 #include <algorithm>
 #include <atomic>
@@ -19,6 +20,7 @@
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/log/utility/setup/file.hpp>
 #include <boost/make_shared.hpp>
+#include <fcntl.h>
 #include <iostream>
 #include <mutex>
 #include <optional>
@@ -40,6 +42,18 @@
 
 std::atomic<LogLevel> LeastLevel{LogLevel::Info};
 
+/// Where logLastEvent() writes. Set before the first event.
+struct LogTarget {
+  std::string File;
+  int Descriptor = STDERR_FILENO;
+  std::string Instance;
+};
+
+LogTarget &logTarget() {
+  static LogTarget Target;
+  return Target;
+}
+
 blog::formatter lineFormatter() {
   return expr::stream << "time="
                       << expr::format_date_time<boost::posix_time::ptime>(
@@ -118,6 +132,7 @@
 void initLogging(LogLevel Least, const std::string &File,
                  const std::string &Instance) {
   LeastLevel = Least;
+  logTarget() = LogTarget{File, STDERR_FILENO, escapeLogValue(Instance)};
   const boost::shared_ptr<blog::core> Core = blog::core::get();
   Core->remove_all_sinks();
   Core->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
@@ -138,6 +153,7 @@
                         double LinesPerSecond) {
   initLogging(Least, std::string(), Instance);
   limiter().emplace(LinesPerSecond);
+  logTarget().Descriptor = STDOUT_FILENO;
   const boost::shared_ptr<blog::core> Core = blog::core::get();
   Core->remove_all_sinks();
   auto Sink =
@@ -155,16 +171,39 @@
 
 namespace {
 
+std::string eventText(absl::string_view Event,
+                      std::initializer_list<LogField> Fields) {
+  std::string Text = absl::StrCat("event=", escapeLogValue(Event));
+  for (const LogField &Field : Fields)
+    absl::StrAppend(&Text, " ", Field.Key, "=", escapeLogValue(Field.Value));
+  return Text;
+}
+
 void writeLine(LogLevel Level, absl::string_view Event,
                std::initializer_list<LogField> Fields) {
-  std::string Line = absl::StrCat("event=", escapeLogValue(Event));
-  for (const LogField &Field : Fields)
-    absl::StrAppend(&Line, " ", Field.Key, "=", escapeLogValue(Field.Value));
-  BOOST_LOG_SEV(eventLogger(), Level) << Line;
+  BOOST_LOG_SEV(eventLogger(), Level) << eventText(Event, Fields);
 }
 
 } // namespace
 
+void logLastEvent(absl::string_view Event,
+                  std::initializer_list<LogField> Fields) {
+  const LogTarget &Target = logTarget();
+  const std::string Time = absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", absl::Now(),
+                                            absl::UTCTimeZone());
+  const std::string Line = absl::StrCat(
+      "time=", Time, " level=", nameOf(LogLevelNames, LogLevel::Error),
+      " instance=", Target.Instance, " ", eventText(Event, Fields), "\n");
+  const int Opened =
+      Target.File.empty()
+          ? -1
+          : open(Target.File.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  const int Descriptor = Opened >= 0 ? Opened : Target.Descriptor;
+  // A line that cannot be written is lost with the process.
+  if (write(Descriptor, Line.data(), std::min(Line.size(), MostLineBytes)) < 0)
+    return;
+}
+
 std::string escapeLogValue(absl::string_view Value) {
   if (isBareWord(Value))
     return std::string(Value);
--- a/src/transport/http/CurlTransfer.cpp
+++ b/src/transport/http/CurlTransfer.cpp
@@ -2,6 +2,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "runtime/PeerScope.h"
 #include <algorithm>
 #include <cstring>
 #include <curl/curl.h>
@@ -308,6 +309,14 @@
   return Outcome;
 }
 
-void CurlTransfer::complete(HttpOutcome Outcome) { Done(std::move(Outcome)); }
+void CurlTransfer::complete(HttpOutcome Outcome) {
+  const PeerScope Scope(
+      "reading a response",
+      [](const void *Peer) {
+        return static_cast<const CurlTransfer *>(Peer)->Call.Address;
+      },
+      this);
+  Done(std::move(Outcome));
+}
 
 } // namespace quetzallead
--- a/src/transport/http/HttpServer.cpp
+++ b/src/transport/http/HttpServer.cpp
@@ -2,15 +2,19 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "runtime/PeerScope.h"
 #include "transport/net/AcceptLoop.h"
 #include "transport/net/ListenSocket.h"
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <microhttpd.h>
 #include <mutex>
+#include <netdb.h>
 #include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -117,6 +121,21 @@
   return MHD_YES;
 }
 
+/// The address of the peer of an MHD_Connection.
+std::string addressOf(const void *Connection) {
+  const MHD_ConnectionInfo *Info = MHD_get_connection_info(
+      static_cast<MHD_Connection *>(const_cast<void *>(Connection)),
+      MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  std::array<char, NI_MAXHOST> Host{};
+  std::array<char, NI_MAXSERV> Port{};
+  const bool Known =
+      Info != nullptr && Info->client_addr != nullptr &&
+      getnameinfo(Info->client_addr, sizeof(sockaddr_in), Host.data(),
+                  Host.size(), Port.data(), Port.size(),
+                  NI_NUMERICHOST | NI_NUMERICSERV) == 0;
+  return Known ? absl::StrCat(Host.data(), ":", Port.data()) : std::string();
+}
+
 class MhdHttpServer : public HttpServer {
 public:
   MhdHttpServer(HttpServerOptions ServerOptions, Handler RequestHandler)
@@ -392,6 +411,7 @@
     Open.insert(E);
   }
   auto Guarded = std::make_shared<AnswerGuard>(E);
+  const PeerScope Scope("serving a request", addressOf, E->Connection);
   OnRequest(std::move(E->Request),
             [Guarded = std::move(Guarded)](HttpResponse Response) {
               Guarded->give(std::move(Response));
--- a/src/transport/peer/PeerTransport.cpp
+++ b/src/transport/peer/PeerTransport.cpp
@@ -9,6 +9,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "runtime/Endpoint.h"
+#include "runtime/PeerScope.h"
 #include "runtime/TimerService.h"
 #include "transport/peer/CheckedPeerResponse.h"
 #include "transport/peer/PeerCodec.h"
@@ -414,6 +415,10 @@
 void PeerHub::onMessage(const LinkPtr &L, const MessagePtr &Message) {
   if (L->Closed)
     return;
+  const PeerScope Scope(
+      "reading a frame",
+      [](const void *Peer) { return static_cast<const Link *>(Peer)->Remote; },
+      L.get());
   const std::string &Bytes = Message->get_payload();
   Totals.BytesIn += wireBytes(Bytes.size(), !L->Handshake.isDialler());
   ++Totals.FramesIn;
