platform: deeply nested accounts of a sheet ended the process

What callers saw: a sheet from the store whose "tenants" nest 500,000 deep (1 MB) ended each instance that read it, and again after each start. The store accepts valid sheets only; a store with a fault need not.

Cause: the list was copied before it was read, which takes stack for each level; parsing and destroying a document do not.

Failed before: PlatformSheetReaderTest.DeeplyNestedAccountsEndedTheProcess (segmentation fault).

--- a/tests/relay/PlatformSheetReaderTest.cpp
+++ b/tests/relay/PlatformSheetReaderTest.cpp
@@ -63,6 +63,16 @@
 
 } // namespace
 
+// Accounts were copied level by level, until the stack was used up.
+TEST(PlatformSheetReaderTest, DeeplyNestedAccountsEndedTheProcess) {
+  std::string Text = sheetText(3, routeTexts(2));
+  constexpr std::size_t Depth = 500000;
+  Text.insert(1, absl::StrCat("\"tenants\": ", std::string(Depth, '['),
+                              std::string(Depth, ']'), ", "));
+  PlatformSheetReader Reader;
+  EXPECT_EQ(read(Reader, Text), decode(Text));
+}
+
 TEST(PlatformSheetReaderTest, WholeSheetWasDecodedForOneChangedRoute) {
   std::vector<std::string> Routes = routeTexts(RouteCount);
   PlatformSheetReader Reader;
