relay: a body that can never be held is refused at once

What callers saw: a body longer than all that an instance may hold, under a larger max_body_bytes, was read until memory was short and then refused with 503 and a Retry-After, or with 408; a repetition could not succeed either. Others' large messages were paused meanwhile.

The bound on a body is the operator's, or the memory that may be held for all messages if that is less: such a length gets 413 at once.

Failed before: ScarceMemoryTest.BodyThatCannotBeHeldIsRefusedAtOnce (408).

--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -1,7 +1,9 @@
 #include "relay/CallerSession.h"
 #include "absl/strings/match.h"
+#include "relay/MemoryGuard.h"
 #include "relay/SocketOptions.h"
 #include "runtime/PeerScope.h"
+#include <algorithm>
 #include <boost/asio/write.hpp>
 
 namespace quetzallead {
@@ -164,6 +166,16 @@
   close();
 }
 
+MessageLimits CallerSession::messageLimits() const {
+  const ClientLimits Limits = Handlers.Limits();
+  MessageLimits Out{Limits.MaxHeaderBytes, Limits.MaxBodyBytes};
+  // A body that can never be held need not be read.
+  if (Handlers.Memory != nullptr)
+    Out.BodyBytes =
+        std::min<std::uint64_t>(Out.BodyBytes, Handlers.Memory->limit());
+  return Out;
+}
+
 /// What the parser refuses.
 static RequestDefect defectOf(const error_code &EC) {
   if (EC == http::error::header_limit)
@@ -177,7 +189,7 @@
   if (Unparsed.empty())
     return;
   if (!Parser) {
-    Parser.emplace(MessageLimits{Limits.MaxHeaderBytes, Limits.MaxBodyBytes});
+    Parser.emplace(messageLimits());
     HeaderSeen = false;
     startTimer(Limits.HeaderTimeout, true);
   }
@@ -223,9 +235,7 @@
 }
 
 void CallerSession::parseMessage() {
-  const ClientLimits Limits = Handlers.Limits();
-  RequestParser Interjected(
-      MessageLimits{Limits.MaxHeaderBytes, Limits.MaxBodyBytes});
+  RequestParser Interjected(messageLimits());
   error_code Fault;
   const std::size_t Consumed = Interjected.parse(Unparsed, Fault);
   // Anything else is a pipelined request, which is parsed in its turn.
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -92,6 +92,7 @@
   void resumeReading();
   void onReadEnd();
   void onBytes(std::size_t Count);
+  MessageLimits messageLimits() const;
   void parse();
   /// Hands the unparsed message, if it is complete, to OnMessage.
   void parseMessage();
--- a/src/relay/MemoryGuard.h
+++ b/src/relay/MemoryGuard.h
@@ -25,6 +25,8 @@
   MemoryGuard(LoopTimers &Timers, std::size_t MachineBytes);
 
   std::size_t heldBytes() const { return Total; }
+  /// Bytes that can be held at all.
+  std::size_t limit() const { return Limit; }
   /// Bytes that one message may have.
   std::size_t messageLimit() const { return Limit / MessageShare; }
   /// Called when what is held for \p Use has been ended; may be empty.
--- a/tests/relay/EndlessBytesTest.cpp
+++ b/tests/relay/EndlessBytesTest.cpp
@@ -303,6 +303,28 @@
   EXPECT_LT(Rejected, Callers);
 }
 
+// Such a body was read until memory was short, and then refused with a
+// Retry-After.
+TEST_F(ScarceMemoryTest, BodyThatCannotBeHeldIsRefusedAtOnce) {
+  std::string Text = sheet(5, "/");
+  const std::string Limit = "\"max_body_bytes\": 1000";
+  Text.replace(Text.find(Limit), Limit.size(), "\"max_body_bytes\": 100000000");
+  Store.put("op/config", Text);
+  absl::SleepFor(absl::Seconds(1));
+  const std::string Head = "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: b\r\n"
+                           "Deadline-Ms: 2500\r\nContent-Length: ";
+  for (const auto &[Length, Status] : {std::pair("20000000", "HTTP/1.1 413"),
+                                       std::pair("2", "HTTP/1.1 200")}) {
+    tcp::socket Caller = connect();
+    send(Caller, absl::StrCat(Head, Length, "\r\n\r\nok"));
+    std::string Answer;
+    boost::system::error_code Fault;
+    boost::asio::read_until(Caller, boost::asio::dynamic_buffer(Answer),
+                            "\r\n\r\n", Fault);
+    EXPECT_EQ(Answer.substr(0, 12), Status);
+  }
+}
+
 // So did callers that do not read their responses.
 TEST_F(ScarceMemoryTest, ResponsesThatNobodyReadsDoNotStopOthers) {
   ByteServer Large([&](tcp::socket &Peer, const ByteServer::Request &Given) {
