relay: a request that waited behind another has its peer in reports too

The scope of a caller's bytes did not cover the requests that are parsed once the one before them is answered. The wiring of the listeners is one loop.

--- a/src/relay/CallerSession.cpp
+++ b/src/relay/CallerSession.cpp
@@ -107,12 +107,6 @@
     read();
     return;
   }
-  const PeerScope Scope(
-      "reading requests",
-      [](const void *Peer) {
-        return peerAddress(static_cast<const CallerSession *>(Peer)->Socket);
-      },
-      this);
   Hold.noteProgress(LoopTimers::now());
   Unparsed.append(Buffer.data(), Count);
   if (Stage == SessionStage::Reading)
@@ -184,7 +178,17 @@
                                        : RequestDefect::Malformed;
 }
 
+PeerScope CallerSession::peerScope() const {
+  return PeerScope(
+      "reading requests",
+      [](const void *Peer) {
+        return peerAddress(static_cast<const CallerSession *>(Peer)->Socket);
+      },
+      this);
+}
+
 void CallerSession::parse() {
+  const PeerScope Scope = peerScope();
   const ClientLimits Limits = Handlers.Limits();
   if (Unparsed.empty())
     return;
@@ -235,6 +239,7 @@
 }
 
 void CallerSession::parseMessage() {
+  const PeerScope Scope = peerScope();
   RequestParser Interjected(messageLimits());
   error_code Fault;
   const std::size_t Consumed = Interjected.parse(Unparsed, Fault);
--- a/src/relay/CallerSession.h
+++ b/src/relay/CallerSession.h
@@ -19,6 +19,7 @@
 
 class CallerSession;
 class MemoryGuard;
+class PeerScope;
 
 /// Callbacks of a caller's connection into the rest of the program.
 struct CallerHandlers {
@@ -93,6 +94,7 @@
   void onReadEnd();
   void onBytes(std::size_t Count);
   MessageLimits messageLimits() const;
+  PeerScope peerScope() const;
   void parse();
   /// Hands the unparsed message, if it is complete, to OnMessage.
   void parseMessage();
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -244,19 +244,18 @@
     return Limits;
   };
   setUpShutdown();
-  for (CallerHandlers *Handlers :
-       {&RequestHandlers, &ReadinessHandlers, &MetricsHandlers, &LinkHandlers})
-    Handlers->Memory = &Memory;
   const std::pair<CallerHandlers *, PeerKind> Listeners[] = {
       {&RequestHandlers, PeerKind::Caller},
       {&ReadinessHandlers, PeerKind::Prober},
       {&MetricsHandlers, PeerKind::Scraper},
       {&LinkHandlers, PeerKind::Instance}};
-  for (const auto &[Handlers, Kind] : Listeners)
+  for (const auto &[Handlers, Kind] : Listeners) {
+    Handlers->Memory = &Memory;
     Handlers->OnRefused = [this, Kind = Kind](const std::string &Address,
                                               RequestDefect Defect) {
       Refusals.onRequest(Kind, Address, Defect);
     };
+  }
   Backends.Observer.OnRefused = [this](const PoolServer &From,
                                        ResponseDefect Defect) {
     const PeerKind Kind =
