--- a/tests/relay/OversizedRequestTest.cpp
+++ b/tests/relay/OversizedRequestTest.cpp
@@ -13,16 +13,25 @@
 constexpr char Head[] = "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: t\r\n"
                         "Deadline-Ms: 2500\r\n";
 
-std::string chunked(const std::string &Trailer, const std::string &Fields = "",
-                    const std::string &Extension = "") {
-  return absl::StrCat(Head, Fields, "Transfer-Encoding: chunked\r\n\r\n2",
-                      Extension, "\r\nok\r\n0\r\n", Trailer, "\r\n");
+std::string chunked(const std::string &Trailer,
+                    const std::string &Fields = "") {
+  return absl::StrCat(Head, Fields, "Transfer-Encoding: chunked\r\n\r\n",
+                      "2\r\nok\r\n0\r\n", Trailer, "\r\n");
 }
 
 std::string longField() {
   return "X-Name: " + std::string(65534, 'x') + "\r\n";
 }
 
+/// The value of the first series called \p Name.
+std::string valueOf(const std::string &Metrics, const std::string &Name) {
+  const std::size_t At = Metrics.find("\n" + Name + "{");
+  if (At == std::string::npos)
+    return std::string();
+  const std::size_t Begin = Metrics.find("} ", At) + 2;
+  return Metrics.substr(Begin, Metrics.find('\n', Begin) - Begin);
+}
+
 /// Where the relay of a test listens: for callers, probes of its readiness,
 /// scrapers and other instances. Set while the relay starts.
 struct ListenAddresses {
@@ -45,14 +54,25 @@
     await([&] { return ask() == 200; });
   }
 
-  /// Sets a limit of the sheet in force.
+  /// Sets a limit, and waits until it is in force.
   void setLimit(const std::string &Name, std::uint64_t Value) {
     std::string Text = sheet(++SheetVersion, "/");
     const std::size_t Begin = Text.find(Name) + Name.size() + 3;
     Text.replace(Begin, Text.find_first_of(",}", Begin) - Begin,
                  absl::StrCat(Value));
     Store.put("op/config", Text);
-    absl::SleepFor(absl::Seconds(1));
+    await([&] {
+      return valueOf(scrape(), "quetzallead_sheet_version") ==
+             absl::StrCat(SheetVersion);
+    });
+  }
+
+  std::string scrape() {
+    // The connection ends with the response.
+    return send(Addresses[2],
+                "GET /metrics HTTP/1.1\r\nHost: h\r\n"
+                "Connection: close\r\n\r\n",
+                std::string(1, '\0'));
   }
 
   tcp::socket connect(const std::string &Address) {
@@ -117,11 +137,7 @@
                          R"("born": 2, "state": "ready", "address": ")",
                          Broken.address(), "\"}"));
   await([&] { return ask() == 502; });
-  const std::string Metrics =
-      send(Addresses[2],
-           "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: "
-           "close\r\n\r\n",
-           "quetzallead_servers_losses_total{");
+  const std::string Metrics = scrape();
   for (const char *Series : {R"(defect="head_too_large",peer="caller"} 1)",
                              R"(defect="head_too_large",peer="prober"} 1)",
                              R"(defect="head_too_large",peer="scraper"} 1)",
