--- a/tests/relay/AttemptClaimTest.cpp
+++ b/tests/relay/AttemptClaimTest.cpp
@@ -4,6 +4,7 @@
 #include "relay/LinkMessages.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <gtest/gtest.h>
 
 using namespace quetzallead;
