--- a/src/relay/RefusalLog.h
+++ b/src/relay/RefusalLog.h
@@ -8,7 +8,10 @@
 
 namespace quetzallead {
 
+class BackendClient;
 class RelayMetrics;
+class RevisionedStore;
+struct CallerHandlers;
 
 /// Logs and counts messages of peers that are refused, so that who sent them
 /// can be told. Never logs their bytes.
@@ -16,6 +19,12 @@
 public:
   explicit RefusalLog(RelayMetrics &Metrics);
 
+  /// Has what is refused of a listener's peers reported here.
+  void watch(CallerHandlers &Listener, PeerKind From);
+  /// Likewise of backend servers and other instances, and of the store.
+  void watch(BackendClient &Backends);
+  void watch(RevisionedStore &Store);
+
   void onRequest(PeerKind From, absl::string_view Address,
                  RequestDefect Defect);
   /// \p Name is that of a server or an instance; empty for the store.
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -2,6 +2,7 @@
 #include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
 #include "relay/DerivedSettings.h"
+#include "relay/LinkLimits.h"
 #include "relay/RequestFingerprint.h"
 #include "relay/RequestLog.h"
 #include "relay/SocketOptions.h"
@@ -38,11 +39,6 @@
 static constexpr Duration AskerPollInterval = absl::Milliseconds(2000);
 /// Timeout of a request for the sheet.
 static constexpr Duration SheetFetchTimeout = absl::Milliseconds(500);
-/// Limits of requests between instances: a caller's request and some more.
-static constexpr std::size_t MaxLinkHeaderBytes = std::size_t{1} << 17;
-static constexpr std::uint64_t MaxLinkBodyBytes = std::uint64_t{64} << 20;
-static constexpr Duration LinkIdleTimeout = absl::Minutes(10);
-static constexpr Duration LinkHeaderTimeout = absl::Seconds(5);
 /// A home's response may arrive this long after the route's timeout, which the
 /// home keeps itself.
 static constexpr Duration LinkTimeoutMargin = absl::Milliseconds(20);
@@ -232,17 +228,7 @@
     return onLinkMessage(Asker, Message);
   };
   LinkHandlers.OnClosed = [](CallerSession &) {};
-  LinkHandlers.Limits = [this] {
-    ClientLimits Limits;
-    // As much of a head as a caller may send to another instance.
-    const std::size_t OfCallers = RequestHandlers.Limits().MaxHeaderBytes;
-    Limits.MaxHeaderBytes =
-        std::max({MaxLinkHeaderBytes, OfCallers, OfCallers + LinkHeadRoom});
-    Limits.MaxBodyBytes = MaxLinkBodyBytes;
-    Limits.HeaderTimeout = LinkHeaderTimeout;
-    Limits.IdleTimeout = LinkIdleTimeout;
-    return Limits;
-  };
+  LinkHandlers.Limits = [this] { return linkLimits(RequestHandlers.Limits()); };
   setUpShutdown();
   const std::pair<CallerHandlers *, PeerKind> Listeners[] = {
       {&RequestHandlers, PeerKind::Caller},
@@ -251,20 +237,10 @@
       {&LinkHandlers, PeerKind::Instance}};
   for (const auto &[Handlers, Kind] : Listeners) {
     Handlers->Memory = &Memory;
-    Handlers->OnRefused = [this, Kind = Kind](const std::string &Address,
-                                              RequestDefect Defect) {
-      Refusals.onRequest(Kind, Address, Defect);
-    };
+    Refusals.watch(*Handlers, Kind);
   }
-  Backends.Observer.OnRefused = [this](const PoolServer &From,
-                                       ResponseDefect Defect) {
-    const PeerKind Kind =
-        From.Info.IsInstance ? PeerKind::Instance : PeerKind::Server;
-    Refusals.onResponse(Kind, From.Info.Id, From.Info.Address, Defect);
-  };
-  Store->OnRefused = [this](const std::string &Address, ResponseDefect Defect) {
-    Refusals.onResponse(PeerKind::Store, "", Address, Defect);
-  };
+  Refusals.watch(Backends);
+  Refusals.watch(*Store);
 }
 
 Result<bool> RelayDaemon::bind(Acceptor &Listener, const std::string &Address) {
